Touch admitted reqs so that their dispatch is emitted

Cause: a req admitted by a count answer never entered the touched list, so only its wake-up sent it.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -346,6 +346,7 @@
         if (r.over || r.wantEnd != End.NONE) {
             return;
         }
+        touch(r);
         Customer c = r.customer;
         long back = r.window == null ? ROUND : r.window.turn - now;
         double spread = r.window == null ? ROUND : SPREAD_BACK * windowLength(c.plan);
