Follow the room left through the totals once a window is spent; refunds ride along

Cause: a heavy customer spent each window at its start and was denied with room until the turn, and the refund calls crowded the counter.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -37,6 +37,7 @@
     private static final long GAP_MOST = 2_000; // 200 ms: five tests a second find its return soon, load nothing
     private static final double GAP_DOWN = 0.7; // the gap after a prompt answer: some ten answers to normal again
     private static final double SLOW_ANSWER = 0.6; // part of the call limit past which an answer is not prompt
+    private static final double REFILLED = 0.9; // part of the burst at which a spent quota counts as filled again
     private static final double SHARE_STEP = 0.1; // step of the learned share of a customer's use: ten answers
     private static final double HEDGE_AFTER = 3.5; // mean times out before a second copy; past the usual tail
     private static final double HEDGE_PART = 0.06; // second copies a req, bounds the waste they can cause
@@ -114,8 +115,9 @@
         long name;
         long turn;
         double mine; // net units of this node answered for
-        double owed; // units passed that no call has carried yet
-        double top; // last total known
+        double owed; // units charged or given back that no call has carried yet
+        Customer customer;
+        double top; // last total known, with what was lost
         double lost; // units that the counter forgot, by what this node knows
         final ArrayDeque<Call> calls = new ArrayDeque<>();
     }
@@ -136,6 +138,10 @@
         int out;
         int width;
         double share; // learned part of its use that comes through this node
+        double room; // units its quota has left, as the totals seen show it; the share of it while alone
+        long roomAt;
+        boolean alone; // decided without the counter
+        boolean spent; // a window's count reached the limit and the quota has not filled again since
         double store; // hard ceiling, this node's part
         long storeAt;
         Learner[] learners;
@@ -263,14 +269,23 @@
         return owed;
     }
 
+    /** Without the counter a customer has this node's learned share of its quota. */
     private boolean hasLocalRoom(Req r) {
-        Window w = r.window;
-        double limit = r.customer.plan.burst();
-        double inCalls = 0;
-        for (Call c : w.calls) {
-            inCalls += c.units();
+        Customer c = r.customer;
+        fill(c);
+        if (!c.alone) {
+            c.room = Math.max(0, c.room) * c.share;
+            c.alone = true;
         }
-        return w.top + w.lost < limit && w.mine + w.owed + inCalls < limit * r.customer.share;
+        return c.room >= r.reserved;
+    }
+
+    private void fill(Customer c) {
+        double part = c.alone ? c.share : 1;
+        double filled = (now - c.roomAt) * c.plan.rate() / 10_000 * part;
+        c.room = Math.min(c.plan.burst() * part, c.room + filled);
+        c.roomAt = now;
+        c.spent &= c.room < REFILLED * c.plan.burst() * part;
     }
 
     private void counted(Event.Counted c) {
@@ -280,44 +295,51 @@
         }
         Call call = w.calls.poll();
         Req r = call.req();
+        Customer customer = w.customer;
         boolean answered = c.how() == Outcome.PASSED;
+        boolean asked = r != null && r.counting;
         judgeCounter(answered, c.spent());
         if (!answered) {
             // A timed-out add may have counted: it is taken as counted. Refused ones are owed again.
-            if (c.how() == Outcome.LATE) {
-                w.mine += call.units();
-            } else if (r == null || call.units() > r.reserved) {
-                w.owed += call.units() - (r == null ? 0 : r.reserved);
+            double rest = call.units() - (asked ? r.reserved : 0);
+            if (c.how() != Outcome.LATE) {
+                w.owed += rest;
             }
-            if (r != null && r.counting) {
+            if (asked) {
                 r.counting = false;
-                boolean pass = !r.over && r.wantEnd == End.NONE && hasLocalRoom(r);
-                decide(r, pass);
-                if (r.admitted && c.how() != Outcome.LATE) {
-                    w.owed += r.reserved;
-                }
+                decide(r, hasLocalRoom(r));
+                w.owed += r.admitted == (c.how() == Outcome.LATE) ? 0 : r.admitted ? r.reserved : -r.reserved;
             }
             return;
         }
+        if (customer.alone) {
+            customer.alone = false;
+            customer.room /= customer.share;
+        }
+        fill(customer);
         w.mine += call.units();
         if (c.total() + 0.01 < w.mine) {
             // Guards against lost counts (a flush, a counter back empty): the total is below what this node
             // alone was answered for, so the known floor stands in for the rest of this window.
-            w.lost = Math.max(w.lost, Math.max(w.top + w.lost + call.units(), w.mine) - c.total());
-            w.mine = Math.min(w.mine, c.total());
+            w.lost = Math.max(w.top + call.units(), w.mine) - c.total();
+            w.mine = c.total();
         }
-        w.top = c.total();
-        Customer customer = r == null ? null : r.customer;
-        if (customer != null && w.top > customer.plan.burst() / 4) {
-            double part = Math.min(1, Math.max(0, w.mine / w.top));
-            customer.share += SHARE_STEP * (Math.max(part, 0.5 / customer.width) - customer.share);
+        double total = c.total() + w.lost;
+        customer.room = Math.max(-customer.plan.burst(), customer.room - (total - w.top - call.units()));
+        w.top = total;
+        if (total > customer.plan.burst() / 4) {
+            double part = Math.min(1, Math.max(0.5 / customer.width, w.mine / total));
+            customer.share += SHARE_STEP * (part - customer.share);
         }
-        if (r != null && r.counting) {
+        if (asked) {
             r.counting = false;
-            boolean pass = c.total() + w.lost - r.reserved < r.customer.plan.burst();
-            decide(r, pass);
+            boolean below = total - r.reserved < customer.plan.burst();
+            customer.spent |= !below;
+            // Guards against windows that differ from the quota's store: a heavy customer would spend each window
+            // at its start, stand denied with room, and find a whole burst again at the turn.
+            decide(r, customer.spent ? customer.room >= r.reserved : below);
             if (!r.admitted) {
-                call(w, null, -r.reserved);
+                w.owed -= r.reserved;
             }
         }
     }
@@ -365,6 +387,7 @@
                 return;
             }
             r.admitted = true;
+            c.room -= r.reserved;
             if (c.plan.ceilingRate() > 0) {
                 c.store -= r.told.units();
             }
@@ -383,6 +406,8 @@
             c.learners = new Learner[site.frontends().size()];
             c.width = width(a);
             c.share = 1.0 / c.width;
+            c.room = c.plan.burst();
+            c.roomAt = now;
         }
         c.width = Math.max(c.width, width(a));
         c.seen = now;
@@ -402,6 +427,7 @@
         long number = now / length;
         if (c.window == null || c.window.turn != (number + 1) * length) {
             Window w = new Window();
+            w.customer = c;
             w.name = (c.id << 31) ^ (number & 0x7fffffffL);
             w.turn = (number + 1) * length;
             c.window = windows.put(w.name, w);
@@ -437,6 +463,7 @@
         double step = range / Math.max(HOLD_COST, OVERRUN_COST) / Math.sqrt(++l.steps);
         l.guess = Math.max(0, Math.min(range, l.guess - step * slope));
         if (r.window != null && actual != r.reserved) {
+            r.customer.room -= actual - r.reserved;
             if (site.counting().open() && gap == 0) {
                 call(r.window, null, actual - r.reserved);
             } else {
@@ -731,6 +758,9 @@
         srvs.each(s -> warm[0] += s.usable ? warmth(s) : 0);
         warmSeen = warm[0];
         windows.each(w -> {
+            if (w.owed != 0 && gap == 0 && now < w.turn + longest && site.counting().open()) {
+                call(w, null, takeOwed(w));
+            }
             if (now > w.turn + longest && w.calls.isEmpty()) {
                 windows.release(w.name);
             }
