--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -33,20 +33,20 @@
     private static final double CROWD_FREE = 2; // dispatches out that never make an app srv crowded
     private static final double COLD_USE = 0.5; // part of the cold budget used: the guide and the chance are rough
     private static final int MISSES = 2; // count calls in a row without answer before the counter is taken as bad
-    private static final long GAP_FIRST = 200; // 20 ms between calls to a bad counter at first
-    private static final long GAP_MOST = 2_000; // 200 ms: five tests a second find its return soon, load nothing
-    private static final double GAP_DOWN = 0.7; // the gap after a prompt answer: some ten answers to normal again
+    private static final double GAP_FIRST = 100; // 10 ms between calls to a bad counter at first
+    private static final double GAP_UP = 1.5; // the gap grows by this, once a round, while answers are missing
+    private static final double GAP_MOST = 2_000; // 200 ms: five tests a second find its return, load nothing
+    private static final double GAP_FADE = 3_300; // 0.33 s: time constant of the gap while answers are prompt
     private static final double SLOW_ANSWER = 0.6; // part of the call limit past which an answer is not prompt
     private static final double REFILLED = 0.9; // part of the burst at which a spent quota counts as filled again
     private static final double SHARE_STEP = 0.1; // step of the learned share of a customer's use: ten answers
     private static final double HEDGE_AFTER = 3.5; // mean times out before a second copy; past the usual tail
     private static final double HEDGE_PART = 0.06; // second copies a req, bounds the waste they can cause
     private static final double HEDGE_STORE = 3; // second copies saved up at most
-    private static final double PRESS_LATE = 0.10; // part of dispatches past the response target that is pressure
-    private static final double PRESS_UP = 0.04; // denial probability added a round under pressure
-    private static final double PRESS_DOWN = 0.02; // taken off a round otherwise; slower, to probe for room
-    private static final double PRESS_MOST = 0.7; // something must go through, or nothing is learned
-    private static final double PRESS_TILT = 0.6; // how much a req's value moves its denial probability
+    private static final long RATE_TIME = 10_000; // 1 s: over this the rate of passed dispatches is taken
+    private static final double WAIT_PART = 0.5; // part of the response target that dispatches may take on average
+    private static final double FREE_OUT = 2; // dispatches out for each usable app srv that are never pressure
+    private static final double VALUE_TILT = 0.3; // how much a req's value stretches that part
     private static final double SPREAD_BACK = 0.5; // part of a window over which come-back advice is spread
     private static final long TICKS_SPARE = 2; // ticks before the client timeout that a final answer goes out
 
@@ -164,12 +164,12 @@
     private final double[] unitTime; // mean time a unit takes, by frontend
     private long now;
     private int misses;
-    private long gap; // between count calls; 0: the counter is well
+    private double gap; // between count calls; 0: the counter is well
     private long nextCall;
+    private long nextGap;
     private double hedges = HEDGE_STORE;
-    private double lateSeen;
-    private double endSeen;
-    private double press;
+    private double passed; // fading number of passed dispatches
+    private int out;
     private double meanValue;
     private double unitsSent; // fading units sent in one cold window
     private double warmSeen;
@@ -257,7 +257,7 @@
                 r.window.owed += r.reserved;
             }
             if (now >= nextCall) {
-                nextCall = now + gap;
+                nextCall = now + (long) gap;
                 call(r.window, null, takeOwed(r.window));
             }
         }
@@ -347,12 +347,14 @@
     private void judgeCounter(boolean answered, long spent) {
         if (!answered) {
             misses++;
-            if (misses >= MISSES || gap > 0) {
-                gap = Math.min(GAP_MOST, Math.max(GAP_FIRST, gap * 2));
+            if ((misses >= MISSES || gap > 0) && now >= nextGap) {
+                nextGap = now + ROUND;
+                gap = Math.min(GAP_MOST, Math.max(GAP_FIRST, gap * GAP_UP));
             }
         } else if (spent < SLOW_ANSWER * site.counting().limit()) {
             misses = 0;
-            gap = gap * GAP_DOWN < site.tick() ? 0 : (long) (gap * GAP_DOWN);
+            gap *= 1 - Math.min(0.3, gap / GAP_FADE);
+            gap = gap < site.tick() ? 0 : gap;
         }
     }
 
@@ -602,6 +604,7 @@
                 srvs.release(s.id);
             }
         });
+        weighFleet();
         reqs.each(r -> {
             if (r.next != null && !r.next.usable) {
                 r.next = choose(r);
@@ -645,12 +648,13 @@
     private void learn(Req r, Dispatch d, Event.Ended e) {
         Srv s = d.srv;
         s.out--;
+        out--;
         s.paceSum = s.out == 0 ? 0 : s.paceSum - 1 / d.pace;
         s.paceBase = s.out == 0 ? 0 : s.paceBase - d.sent / d.pace;
         fade(s);
         double spent = now - d.sent;
-        Site.Frontend f = site.frontends().get(r.told.frontend());
         if (e.how() == Outcome.PASSED) {
+            passed++;
             s.done++;
             s.busy += spent / d.pace;
             double unit = spent / Math.max(0.1, r.told.units());
@@ -661,10 +665,6 @@
         } else if (e.how() != Outcome.NOT_SENT) {
             s.busy += FAULT;
         }
-        if (e.how() == Outcome.PASSED || e.how() == Outcome.LATE || e.how() == Outcome.FULL) {
-            endSeen++;
-            lateSeen += e.how() != Outcome.PASSED || spent > f.target() ? 1 : 0;
-        }
         if (!s.usable && s.out == 0) {
             srvs.release(s.id);
         }
@@ -737,26 +737,26 @@
 
     // ---- pressure and housekeeping
 
-    /** While too many answers miss the response target, some are denied at once, cheap ones rather. */
+    /**
+     * Guards against queues that outlast the response target (overload, dead or slowed app srvs, retry storms):
+     * by Little's law what is out over what passes a second is how long a dispatch takes now. Beyond the allowed
+     * part of the target a req is denied at once, cheap ones sooner. Harms where app srvs answer in bursts.
+     */
     private boolean pressed(Req r) {
-        double value = r.customer.plan.price() * site.frontends().get(r.told.frontend()).value();
+        Site.Frontend f = site.frontends().get(r.told.frontend());
+        double value = r.customer.plan.price() * f.value();
         meanValue += (meanValue == 0 ? 1 : 0.01) * (value - meanValue);
         double tilt = Math.max(-1, Math.min(1, (value - meanValue) / Math.max(1e-9, meanValue)));
-        return press > 0 && chance.nextDouble() < press * (1 - PRESS_TILT * tilt);
+        double allowed = WAIT_PART * (1 + VALUE_TILT * tilt) * f.target() * passed / RATE_TIME;
+        return out >= Math.max(FREE_OUT * warmSeen, allowed);
     }
 
     private void round() {
-        double late = endSeen < 1 ? 0 : lateSeen / endSeen;
-        press = late > PRESS_LATE && endSeen > 3 ? Math.min(PRESS_MOST, press + PRESS_UP)
-                : Math.max(0, press - PRESS_DOWN);
-        lateSeen *= 0.9;
-        endSeen *= 0.9;
+        passed *= Math.exp(-ROUND / (double) RATE_TIME);
         double keep = rules.fallTime() <= 0 ? 0 : Math.exp(-(now - fadedAt) / (double) rules.fallTime());
         unitsSent *= keep;
         fadedAt = now;
-        double[] warm = {0};
-        srvs.each(s -> warm[0] += s.usable ? warmth(s) : 0);
-        warmSeen = warm[0];
+        weighFleet();
         windows.each(w -> {
             if (w.owed != 0 && gap == 0 && now < w.turn + longest && site.counting().open()) {
                 call(w, null, takeOwed(w));
@@ -773,6 +773,12 @@
         });
     }
 
+    private void weighFleet() {
+        double[] warm = {0};
+        srvs.each(s -> warm[0] += s.usable ? warmth(s) : 0);
+        warmSeen = warm[0];
+    }
+
     private boolean full(Customer c) {
         return c.store >= c.plan.ceilingBurst() / c.width;
     }
@@ -838,6 +844,7 @@
         r.sent.add(d);
         r.customer.out++;
         d.srv.out++;
+        out++;
         d.srv.paceSum += 1 / d.pace;
         d.srv.paceBase += now / d.pace;
         unitsSent += r.told.units();
