--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -44,8 +44,8 @@
     private static final double HEDGE_PART = 0.06; // second copies a req, bounds the waste they can cause
     private static final double HEDGE_STORE = 3; // second copies saved up at most
     private static final long RATE_TIME = 10_000; // 1 s: over this the rate of passed dispatches is taken
-    private static final double WAIT_PART = 0.5; // part of the response target that dispatches may take on average
-    private static final double FREE_OUT = 2; // dispatches out for each usable app srv that are never pressure
+    private static final double WAIT_PART = 0.3; // part of the response target that dispatches may take on average
+    private static final double FREE_OUT = 4; // dispatches out of all nodes for each warm app srv that are no pressure
     private static final double VALUE_TILT = 0.3; // how much a req's value stretches that part
     private static final double SPREAD_BACK = 0.5; // part of a window over which come-back advice is spread
     private static final long TICKS_SPARE = 2; // ticks before the client timeout that a final answer goes out
@@ -748,7 +748,7 @@
         meanValue += (meanValue == 0 ? 1 : 0.01) * (value - meanValue);
         double tilt = Math.max(-1, Math.min(1, (value - meanValue) / Math.max(1e-9, meanValue)));
         double allowed = WAIT_PART * (1 + VALUE_TILT * tilt) * f.target() * passed / RATE_TIME;
-        return out >= Math.max(FREE_OUT * warmSeen, allowed);
+        return out >= Math.max(FREE_OUT * warmSeen / Math.max(1, site.nodes()), allowed);
     }
 
     private void round() {
