--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -69,6 +69,7 @@
         long end; // the final answer goes out by then
         Window window; // charged there; null where nothing was charged
         double reserved;
+        double charged; // of it, what its count call added
         boolean counting; // its count call is out
         boolean admitted;
         boolean streaming;
@@ -245,8 +246,12 @@
         if (!site.counting().open()) {
             decide(r, hasLocalRoom(r));
         } else if (gap == 0) {
+            // Once its window is spent and no room is known, a req only reads: adds that are sure to be given
+            // back would make the customer look fuller to the other nodes than it is.
+            fill(r.customer);
+            r.charged = r.customer.spent && r.customer.room < r.reserved ? 0 : r.reserved;
             r.counting = true;
-            call(r.window, r, r.reserved + takeOwed(r.window));
+            call(r.window, r, r.charged + takeOwed(r.window));
         } else {
             // Guards against a counter that is silent, refusing, full or slow: the req is decided on this
             // node's share at once and only every gap'th call goes out, carrying what is owed for the customer.
@@ -274,10 +279,10 @@
         Customer c = r.customer;
         fill(c);
         if (!c.alone) {
-            c.room = Math.max(0, c.room) * c.share;
+            c.room *= c.room > 0 ? c.share : 1;
             c.alone = true;
         }
-        return c.room >= r.reserved;
+        return c.room > 0;
     }
 
     private void fill(Customer c) {
@@ -301,20 +306,20 @@
         judgeCounter(answered, c.spent());
         if (!answered) {
             // A timed-out add may have counted: it is taken as counted. Refused ones are owed again.
-            double rest = call.units() - (asked ? r.reserved : 0);
+            double rest = call.units() - (asked ? r.charged : 0);
             if (c.how() != Outcome.LATE) {
                 w.owed += rest;
             }
             if (asked) {
                 r.counting = false;
                 decide(r, hasLocalRoom(r));
-                w.owed += r.admitted == (c.how() == Outcome.LATE) ? 0 : r.admitted ? r.reserved : -r.reserved;
+                w.owed += (r.admitted ? r.reserved : 0) - (c.how() == Outcome.LATE ? r.charged : 0);
             }
             return;
         }
         if (customer.alone) {
             customer.alone = false;
-            customer.room /= customer.share;
+            customer.room /= customer.room > 0 ? customer.share : 1;
         }
         fill(customer);
         w.mine += call.units();
@@ -333,13 +338,14 @@
         }
         if (asked) {
             r.counting = false;
-            boolean below = total - r.reserved < customer.plan.burst();
+            boolean below = total - r.charged < customer.plan.burst();
             customer.spent |= !below;
             // Guards against windows that differ from the quota's store: a heavy customer would spend each window
             // at its start, stand denied with room, and find a whole burst again at the turn.
             decide(r, customer.spent ? customer.room >= r.reserved : below);
-            if (!r.admitted) {
-                w.owed -= r.reserved;
+            double rest = (r.admitted ? r.reserved : 0) - r.charged;
+            if (rest != 0) {
+                call(w, null, rest);
             }
         }
     }
