--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -46,6 +46,7 @@
     private static final long RATE_TIME = 10_000; // 1 s: over this the rate of passed dispatches is taken
     private static final double WAIT_PART = 0.3; // part of the response target that dispatches may take on average
     private static final double FREE_OUT = 4; // dispatches out of all nodes for each warm app srv that are no pressure
+    private static final double KEPT_BACK = 0.5; // part of a burst, or of the wait allowed, kept from further tries
     private static final double VALUE_TILT = 0.3; // how much a req's value stretches that part
     private static final double SPREAD_BACK = 0.5; // part of a window over which come-back advice is spread
     private static final long TICKS_SPARE = 2; // ticks before the client timeout that a final answer goes out
@@ -72,6 +73,7 @@
         double charged; // of it, what its count call added
         boolean counting; // its count call is out
         boolean admitted;
+        boolean again; // a client's further try, as marked or as its shorter wait tells
         boolean streaming;
         long ranSince = -1; // sending of the first dispatch that may have run
         Srv ranOn;
@@ -162,6 +164,7 @@
     private final List<Req> touched = new ArrayList<>();
     private final List<Window> wantCalls = new ArrayList<>();
     private final List<Call> wantCallsOf = new ArrayList<>();
+    private final long[] mostLeft; // longest wait a client's try has come with, by frontend
     private final double[] unitTime; // mean time a unit takes, by frontend
     private long now;
     private int misses;
@@ -187,6 +190,7 @@
         started = now;
         fadedAt = now;
         unitTime = new double[site.frontends().size()];
+        mostLeft = new long[unitTime.length];
         long most = 0;
         for (Site.Frontend f : site.frontends()) {
             most = Math.max(most, f.clientTimeout());
@@ -230,6 +234,8 @@
         r.told = a;
         r.end = now + a.left() - TICKS_SPARE * site.tick();
         r.wake = r.end;
+        mostLeft[a.frontend()] = Math.max(mostLeft[a.frontend()], a.left());
+        r.again = a.repeat() || a.left() < mostLeft[a.frontend()] - ROUND / 10;
         r.customer = customer(a);
         touch(r);
         Site.Plan plan = r.customer.plan;
@@ -282,7 +288,15 @@
             c.room *= c.room > 0 ? c.share : 1;
             c.alone = true;
         }
-        return c.room > 0;
+        return c.room > keptBack(r) * (c.room > 0 ? c.share : 1);
+    }
+
+    /**
+     * Guards against client tries that come back after a denial and take room from first tries: what they ask is
+     * mostly past its response target by then. They pass only while plenty is left. Harms prompt second tries.
+     */
+    private double keptBack(Req r) {
+        return r.again && r.customer.spent ? KEPT_BACK * r.customer.plan.burst() : 0;
     }
 
     private void fill(Customer c) {
@@ -342,7 +356,7 @@
             customer.spent |= !below;
             // Guards against windows that differ from the quota's store: a heavy customer would spend each window
             // at its start, stand denied with room, and find a whole burst again at the turn.
-            decide(r, customer.spent ? customer.room >= r.reserved : below);
+            decide(r, customer.spent ? customer.room >= r.reserved + keptBack(r) : below);
             double rest = (r.admitted ? r.reserved : 0) - r.charged;
             if (rest != 0) {
                 call(w, null, rest);
@@ -753,7 +767,7 @@
         double value = r.customer.plan.price() * f.value();
         meanValue += (meanValue == 0 ? 1 : 0.01) * (value - meanValue);
         double tilt = Math.max(-1, Math.min(1, (value - meanValue) / Math.max(1e-9, meanValue)));
-        double allowed = WAIT_PART * (1 + VALUE_TILT * tilt) * f.target() * passed / RATE_TIME;
+        double allowed = WAIT_PART * (r.again ? KEPT_BACK : 1) * (1 + VALUE_TILT * tilt) * f.target() * passed / RATE_TIME;
         return out >= Math.max(FREE_OUT * warmSeen / Math.max(1, site.nodes()), allowed);
     }
 
