--- a/src/main/java/saltlatch/Main.java
+++ b/src/main/java/saltlatch/Main.java
@@ -5,13 +5,13 @@
 
 /** Subcommands of the jar. */
 public final class Main {
-    private Main() {}
+  private Main() {}
 
-    public static void main(String[] args) throws IOException {
-        if (args.length == 1 && args[0].equals("simhost")) {
-            System.exit(new SimHost(Control::new).run(System.in, System.out, System.err));
-        }
-        System.err.println("usage: saltlatch simhost");
-        System.exit(2);
+  public static void main(String[] args) throws IOException {
+    if (args.length == 1 && args[0].equals("simhost")) {
+      System.exit(new SimHost(Control::new).run(System.in, System.out, System.err));
     }
+    System.err.println("usage: saltlatch simhost");
+    System.exit(2);
+  }
 }
--- a/src/main/java/saltlatch/api/Actions.java
+++ b/src/main/java/saltlatch/api/Actions.java
@@ -2,31 +2,31 @@
 
 /** What an instance can do. Times are tenths of a ms. */
 public interface Actions {
-    void dispatch(long rid, long srv, long cap);
+  void dispatch(long rid, long srv, long cap);
 
-    /** Final: a further try is harmless, best after {@code pause} (0: no advice). */
-    void deny(long rid, long pause);
+  /** Final: a further try is harmless, best after {@code pause} (0: no advice). */
+  void deny(long rid, long pause);
 
-    /** Final: promises nothing. */
-    void abort(long rid);
+  /** Final: promises nothing. */
+  void abort(long rid);
 
-    void cancel(long rid, int dispatch);
+  void cancel(long rid, int dispatch);
 
-    void wake(long at, long handle);
+  void wake(long at, long handle);
 
-    void probe(long srv);
+  void probe(long srv);
 
-    void closeIdle(long srv);
+  void closeIdle(long srv);
 
-    /** Adds to a named count that is forgotten {@code keep} after its first call. */
-    void count(long name, double units, long keep);
+  /** Adds to a named count that is forgotten {@code keep} after its first call. */
+  void count(long name, double units, long keep);
 
-    void follow(boolean on);
+  void follow(boolean on);
 
-    void fetchList();
+  void fetchList();
 
-    /** {@code peer} below 0: all of them. */
-    void tell(int peer, byte[] words);
+  /** {@code peer} below 0: all of them. */
+  void tell(int peer, byte[] words);
 
-    void note(String text);
+  void note(String text);
 }
--- a/src/main/java/saltlatch/api/Event.java
+++ b/src/main/java/saltlatch/api/Event.java
@@ -4,42 +4,42 @@
 
 /** What an instance is told. Times are tenths of a ms. */
 public sealed interface Event {
-    enum ListKind { CHANGES, WHOLE, CACHED, FAILED }
+  enum ListKind { CHANGES, WHOLE, CACHED, FAILED }
 
-    enum Condition { DRAINING, GONE, READY }
+  enum Condition { DRAINING, GONE, READY }
 
-    /** How a dispatch, a probe or a count call ended. */
-    enum Outcome {
-        PASSED, ERROR, FULL, LATE, NOT_CONNECTED, BROKEN, CANCELLED, NOT_SENT;
+  /** How a dispatch, a probe or a count call ended. */
+  enum Outcome {
+    PASSED, ERROR, FULL, LATE, NOT_CONNECTED, BROKEN, CANCELLED, NOT_SENT;
 
-        /** The app srv cannot have run it. */
-        public boolean neverRan() {
-            return this == FULL || this == NOT_CONNECTED || this == NOT_SENT;
-        }
+    /** The app srv cannot have run it. */
+    public boolean neverRan() {
+      return this == FULL || this == NOT_CONNECTED || this == NOT_SENT;
     }
+  }
 
-    record Entry(long srv, long since, int zone, int cell, Condition condition, double rating, int type) {}
+  record Entry(long srv, long since, int zone, int cell, Condition condition, double rating, int type) {}
 
-    record Listed(ListKind kind, List<Entry> entries) implements Event {}
+  record Listed(ListKind kind, List<Entry> entries) implements Event {}
 
-    /** A req: its client waits {@code left}; the customer uses {@code width} nodes from number {@code first}. */
-    record Arrived(long rid, int frontend, int plan, long customer, long left, double units,
-            int width, int first, boolean repeat) implements Event {}
+  /** A req: its client waits {@code left}; the customer uses {@code width} nodes from {@code first} on. */
+  record Arrived(long rid, int frontend, int plan, long customer, long left, double units,
+      int width, int first, boolean repeat) implements Event {}
 
-    /** The answer has begun to stream; the client timeout no longer runs. */
-    record Begun(long rid, long srv, int dispatch, long spent) implements Event {}
+  /** The answer has begun to stream; the client timeout no longer runs. */
+  record Begun(long rid, long srv, int dispatch, long spent) implements Event {}
 
-    /** A dispatch ended; {@code over}: the req is over too; {@code actual}: true units, 0 if untold. */
-    record Ended(long rid, long srv, int dispatch, Outcome how, boolean over, long spent, double actual,
-            double fleetUse, List<Double> load) implements Event {}
+  /** A dispatch ended; {@code over}: the req is over too; {@code actual}: true units, 0 if untold. */
+  record Ended(long rid, long srv, int dispatch, Outcome how, boolean over, long spent, double actual,
+      double fleetUse, List<Double> load) implements Event {}
 
-    record ClientLeft(long rid) implements Event {}
+  record ClientLeft(long rid) implements Event {}
 
-    record Due(long handle) implements Event {}
+  record Due(long handle) implements Event {}
 
-    record Probed(long srv, Outcome how, long spent, List<Double> load) implements Event {}
+  record Probed(long srv, Outcome how, long spent, List<Double> load) implements Event {}
 
-    record Heard(int from, byte[] words) implements Event {}
+  record Heard(int from, byte[] words) implements Event {}
 
-    record Counted(long name, Outcome how, double total, long spent) implements Event {}
+  record Counted(long name, Outcome how, double total, long spent) implements Event {}
 }
--- a/src/main/java/saltlatch/api/Site.java
+++ b/src/main/java/saltlatch/api/Site.java
@@ -4,21 +4,21 @@
 
 /** What an instance reads at start, decoded once. Times are tenths of a ms, rates units a second. */
 public record Site(long seed, int nodes, long tick, Rules rules, Counting counting,
-        List<Frontend> frontends, List<Plan> plans) {
+    List<Frontend> frontends, List<Plan> plans) {
 
-    public enum Effect { REPLAYABLE, UNIQUED, NON_REPLAYABLE }
+  public enum Effect { REPLAYABLE, UNIQUED, NON_REPLAYABLE }
 
-    public enum Group { ALL, ZONE, CELL }
+  public enum Group { ALL, ZONE, CELL }
 
-    public record Frontend(Effect effect, Group group, long remembered, long target, long clientTimeout,
-            double value) {}
+  public record Frontend(Effect effect, Group group, long remembered, long target, long clientTimeout,
+      double value) {}
 
-    /** Rate 0: no such quota; parallel 0: no such cap; ceilingRate 0: no ceiling. */
-    public record Plan(double rate, double burst, int parallel, double ceilingRate, double ceilingBurst,
-            double price, double beyondValue, double beyondCost) {}
+  /** Rate 0: no such quota; parallel 0: no such cap; ceilingRate 0: no ceiling. */
+  public record Plan(double rate, double burst, int parallel, double ceilingRate, double ceilingBurst,
+      double price) {}
 
-    public record Rules(boolean mustFollow, boolean mayCancel, boolean secondCopies, int sendCap, boolean mayProbe,
-            boolean mayAdvise, long longestPause, long cold, double coldFrom, double fallMultiple, long fallTime) {}
+  public record Rules(boolean mustFollow, boolean mayCancel, boolean secondCopies, int sendCap,
+      boolean mayAdvise, long longestPause, long cold, double coldFrom, double fallMultiple, long fallTime) {}
 
-    public record Counting(boolean open, long limit, boolean unitsAfter) {}
+  public record Counting(boolean open, long limit, boolean unitsAfter) {}
 }
--- a/src/main/java/saltlatch/simhost/Reader.java
+++ b/src/main/java/saltlatch/simhost/Reader.java
@@ -9,76 +9,76 @@
 
 /** Decodes the start message; unknown keys are passed over. */
 final class Reader {
-    private Reader() {}
+  private Reader() {}
 
-    static Site site(String text, long seed) {
-        JsonObject all = JsonParser.parseString(text).getAsJsonObject();
-        JsonObject limits = part(all, "limits");
-        JsonObject guard = part(all, "contract");
-        JsonObject family = part(all, "familyInfo");
-        List<Site.Frontend> frontends = new ArrayList<>();
-        for (JsonElement e : all.getAsJsonArray("categories")) {
-            JsonObject c = e.getAsJsonObject();
-            frontends.add(new Site.Frontend(effect(word(c, "effect")), group(word(c, "keyScope")), time(c, "window"),
-                    time(c, "aim"), time(c, "deadline"), number(c, "importance")));
-        }
-        List<Site.Plan> plans = new ArrayList<>();
-        if (all.has("contracts")) {
-            for (JsonElement e : all.getAsJsonArray("contracts")) {
-                JsonObject c = e.getAsJsonObject();
-                plans.add(new Site.Plan(number(c, "refill"), number(c, "peakUnits"), (int) number(c, "parallel"),
-                        number(c, "capRate"), number(c, "hardBurst"), number(c, "pays"), number(c, "overWorth"),
-                        number(c, "excessCost")));
-            }
-        }
-        Site.Rules rules = new Site.Rules(word(all, "discovery").equals("subscribe"), flag(limits, "cancelling"),
-                flag(limits, "secondCopies"), (int) number(limits, "sendCap"), flag(limits, "probing"),
-                flag(limits, "retryAfter"), time(limits, "maxRetryAfter"), time(guard, "cold"),
-                number(guard, "coldFrom"), number(guard, "fallMultiple"), time(guard, "tipAfter"));
-        Site.Counting counting = new Site.Counting(flag(family, "counter"), time(family, "countLimit"),
-                flag(family, "costAfter"));
-        return new Site(seed, (int) number(all, "peersTotal"), time(all, "quantum"), rules, counting, frontends, plans);
+  static Site site(String text, long seed) {
+    JsonObject all = JsonParser.parseString(text).getAsJsonObject();
+    JsonObject limits = part(all, "limits");
+    JsonObject guard = part(all, "contract");
+    JsonObject family = part(all, "familyInfo");
+    List<Site.Frontend> frontends = new ArrayList<>();
+    for (JsonElement e : all.getAsJsonArray("categories")) {
+      JsonObject c = e.getAsJsonObject();
+      frontends.add(new Site.Frontend(effect(word(c, "effect")), group(word(c, "keyScope")),
+          time(c, "window"), time(c, "aim"), time(c, "deadline"), number(c, "importance")));
     }
-
-    private static Site.Effect effect(String word) {
-        switch (word) {
-            case "idempotent":
-                return Site.Effect.REPLAYABLE;
-            case "deduplicated":
-                return Site.Effect.UNIQUED;
-            default:
-                return Site.Effect.NON_REPLAYABLE;
-        }
+    List<Site.Plan> plans = new ArrayList<>();
+    if (all.has("contracts")) {
+      for (JsonElement e : all.getAsJsonArray("contracts")) {
+        JsonObject c = e.getAsJsonObject();
+        plans.add(new Site.Plan(number(c, "refill"), number(c, "peakUnits"), (int) number(c, "parallel"),
+            number(c, "capRate"), number(c, "hardBurst"), number(c, "pays")));
+      }
     }
+    Site.Rules rules = new Site.Rules(word(all, "discovery").equals("subscribe"), flag(limits, "cancelling"),
+        flag(limits, "secondCopies"), (int) number(limits, "sendCap"),
+        flag(limits, "retryAfter"), time(limits, "maxRetryAfter"), time(guard, "cold"),
+        number(guard, "coldFrom"), number(guard, "fallMultiple"), time(guard, "tipAfter"));
+    Site.Counting counting = new Site.Counting(flag(family, "counter"), time(family, "countLimit"),
+        flag(family, "costAfter"));
+    return new Site(seed, (int) number(all, "peersTotal"), time(all, "quantum"), rules, counting,
+        frontends, plans);
+  }
 
-    private static Site.Group group(String word) {
-        switch (word) {
-            case "all":
-                return Site.Group.ALL;
-            case "zone":
-                return Site.Group.ZONE;
-            default:
-                return Site.Group.CELL;
-        }
+  private static Site.Effect effect(String word) {
+    switch (word) {
+      case "idempotent":
+        return Site.Effect.REPLAYABLE;
+      case "deduplicated":
+        return Site.Effect.UNIQUED;
+      default:
+        return Site.Effect.NON_REPLAYABLE;
     }
+  }
 
-    private static JsonObject part(JsonObject from, String key) {
-        return from.has(key) ? from.getAsJsonObject(key) : new JsonObject();
+  private static Site.Group group(String word) {
+    switch (word) {
+      case "all":
+        return Site.Group.ALL;
+      case "zone":
+        return Site.Group.ZONE;
+      default:
+        return Site.Group.CELL;
     }
+  }
 
-    private static double number(JsonObject from, String key) {
-        return from.has(key) && !from.get(key).isJsonNull() ? from.get(key).getAsDouble() : 0;
-    }
+  private static JsonObject part(JsonObject from, String key) {
+    return from.has(key) ? from.getAsJsonObject(key) : new JsonObject();
+  }
 
-    private static long time(JsonObject from, String key) {
-        return Reply.tenths(number(from, key));
-    }
+  private static double number(JsonObject from, String key) {
+    return from.has(key) && !from.get(key).isJsonNull() ? from.get(key).getAsDouble() : 0;
+  }
 
-    private static boolean flag(JsonObject from, String key) {
-        return from.has(key) && from.get(key).getAsBoolean();
-    }
+  private static long time(JsonObject from, String key) {
+    return Reply.tenths(number(from, key));
+  }
 
-    private static String word(JsonObject from, String key) {
-        return from.has(key) ? from.get(key).getAsString() : "";
-    }
+  private static boolean flag(JsonObject from, String key) {
+    return from.has(key) && from.get(key).getAsBoolean();
+  }
+
+  private static String word(JsonObject from, String key) {
+    return from.has(key) ? from.get(key).getAsString() : "";
+  }
 }
--- a/src/main/java/saltlatch/simhost/Reply.java
+++ b/src/main/java/saltlatch/simhost/Reply.java
@@ -10,134 +10,134 @@
 
 /** The reply frame under construction. */
 final class Reply {
-    private static final int RECORD = 24;
-    private ByteBuffer records = ByteBuffer.allocate(RECORD * 256).order(ByteOrder.LITTLE_ENDIAN);
-    private final ByteArrayOutputStream tail = new ByteArrayOutputStream();
-    private int count;
-
-    static long tenths(double ms) {
-        return (long) Math.floor(ms * 10 + 1e-6);
-    }
-
-    private static double ms(long tenths) {
-        return tenths / 10.0;
-    }
-
-    void clear() {
-        records.clear();
-        tail.reset();
-        count = 0;
-    }
-
-    void write(OutputStream out) throws IOException {
-        int size = count * RECORD;
-        ByteBuffer header = ByteBuffer.allocate(8).order(ByteOrder.LITTLE_ENDIAN);
-        header.putInt(4 + size + tail.size()).putInt(count);
-        out.write(header.array());
-        out.write(records.array(), 0, size);
-        tail.writeTo(out);
-    }
-
-    private int next(int code, int inst) {
-        int at = count++ * RECORD;
-        if (at + RECORD > records.capacity()) {
-            ByteBuffer more = ByteBuffer.allocate(records.capacity() * 2).order(ByteOrder.LITTLE_ENDIAN);
-            more.put(0, records.array(), 0, at);
-            records = more;
-        }
-        for (int i = 0; i < RECORD; i += 8) {
-            records.putLong(at + i, 0);
-        }
-        records.putShort(at, (short) code).putShort(at + 2, (short) inst);
-        return at;
-    }
-
-    private void attachBytes(int at, byte[] data) {
-        records.putInt(at, tail.size()).putInt(at + 4, data.length);
-        tail.writeBytes(data);
-    }
-
-    Encoder of(int inst) {
-        return new Encoder(inst);
-    }
-
-    /** One instance's actions, written as they are emitted. */
-    final class Encoder implements Actions {
-        private final int inst;
-
-        Encoder(int inst) {
-            this.inst = inst;
-        }
-
-        void crash(String text) {
-            attachBytes(next(258, inst) + 4, text.getBytes(StandardCharsets.UTF_8));
-        }
-
-        @Override
-        public void dispatch(long rid, long srv, long cap) {
-            int at = next(259, inst);
-            records.putInt(at + 4, (int) rid).putDouble(at + 8, ms(cap)).putInt(at + 16, (int) srv);
-        }
-
-        @Override
-        public void deny(long rid, long pause) {
-            int at = next(260, inst);
-            records.putInt(at + 4, (int) rid).putDouble(at + 8, ms(pause));
-        }
-
-        @Override
-        public void abort(long rid) {
-            records.putInt(next(262, inst) + 4, (int) rid);
-        }
-
-        @Override
-        public void cancel(long rid, int dispatch) {
-            int at = next(261, inst);
-            records.putInt(at + 4, (int) rid).put(at + 8, (byte) dispatch);
-        }
-
-        @Override
-        public void wake(long when, long handle) {
-            int at = next(265, inst);
-            records.putDouble(at + 4, ms(when)).putLong(at + 12, handle);
-        }
-
-        @Override
-        public void probe(long srv) {
-            records.putInt(next(266, inst) + 4, (int) srv);
-        }
-
-        @Override
-        public void closeIdle(long srv) {
-            records.putInt(next(256, inst) + 4, (int) srv);
-        }
-
-        @Override
-        public void count(long name, double units, long keep) {
-            int at = next(267, inst);
-            records.putLong(at + 4, name).putFloat(at + 12, (float) units).putDouble(at + 16, ms(keep));
-        }
-
-        @Override
-        public void follow(boolean on) {
-            records.put(next(268, inst) + 4, (byte) (on ? 1 : 0));
-        }
-
-        @Override
-        public void fetchList() {
-            next(257, inst);
-        }
-
-        @Override
-        public void tell(int peer, byte[] words) {
-            int at = next(263, inst);
-            records.putShort(at + 4, (short) peer);
-            attachBytes(at + 6, words);
-        }
-
-        @Override
-        public void note(String text) {
-            attachBytes(next(264, inst) + 4, text.getBytes(StandardCharsets.UTF_8));
-        }
+  private static final int RECORD = 24;
+  private ByteBuffer records = ByteBuffer.allocate(RECORD * 256).order(ByteOrder.LITTLE_ENDIAN);
+  private final ByteArrayOutputStream tail = new ByteArrayOutputStream();
+  private int count;
+
+  static long tenths(double ms) {
+    return (long) Math.floor(ms * 10 + 1e-6);
+  }
+
+  private static double ms(long tenths) {
+    return tenths / 10.0;
+  }
+
+  void clear() {
+    records.clear();
+    tail.reset();
+    count = 0;
+  }
+
+  void write(OutputStream out) throws IOException {
+    int size = count * RECORD;
+    ByteBuffer header = ByteBuffer.allocate(8).order(ByteOrder.LITTLE_ENDIAN);
+    header.putInt(4 + size + tail.size()).putInt(count);
+    out.write(header.array());
+    out.write(records.array(), 0, size);
+    tail.writeTo(out);
+  }
+
+  private int next(int code, int inst) {
+    int at = count++ * RECORD;
+    if (at + RECORD > records.capacity()) {
+      ByteBuffer more = ByteBuffer.allocate(records.capacity() * 2).order(ByteOrder.LITTLE_ENDIAN);
+      more.put(0, records.array(), 0, at);
+      records = more;
     }
+    for (int i = 0; i < RECORD; i += 8) {
+      records.putLong(at + i, 0);
+    }
+    records.putShort(at, (short) code).putShort(at + 2, (short) inst);
+    return at;
+  }
+
+  private void attachBytes(int at, byte[] data) {
+    records.putInt(at, tail.size()).putInt(at + 4, data.length);
+    tail.writeBytes(data);
+  }
+
+  Encoder of(int inst) {
+    return new Encoder(inst);
+  }
+
+  /** One instance's actions, written as they are emitted. */
+  final class Encoder implements Actions {
+    private final int inst;
+
+    Encoder(int inst) {
+      this.inst = inst;
+    }
+
+    void crash(String text) {
+      attachBytes(next(258, inst) + 4, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void dispatch(long rid, long srv, long cap) {
+      int at = next(259, inst);
+      records.putInt(at + 4, (int) rid).putDouble(at + 8, ms(cap)).putInt(at + 16, (int) srv);
+    }
+
+    @Override
+    public void deny(long rid, long pause) {
+      int at = next(260, inst);
+      records.putInt(at + 4, (int) rid).putDouble(at + 8, ms(pause));
+    }
+
+    @Override
+    public void abort(long rid) {
+      records.putInt(next(262, inst) + 4, (int) rid);
+    }
+
+    @Override
+    public void cancel(long rid, int dispatch) {
+      int at = next(261, inst);
+      records.putInt(at + 4, (int) rid).put(at + 8, (byte) dispatch);
+    }
+
+    @Override
+    public void wake(long when, long handle) {
+      int at = next(265, inst);
+      records.putDouble(at + 4, ms(when)).putLong(at + 12, handle);
+    }
+
+    @Override
+    public void probe(long srv) {
+      records.putInt(next(266, inst) + 4, (int) srv);
+    }
+
+    @Override
+    public void closeIdle(long srv) {
+      records.putInt(next(256, inst) + 4, (int) srv);
+    }
+
+    @Override
+    public void count(long name, double units, long keep) {
+      int at = next(267, inst);
+      records.putLong(at + 4, name).putFloat(at + 12, (float) units).putDouble(at + 16, ms(keep));
+    }
+
+    @Override
+    public void follow(boolean on) {
+      records.put(next(268, inst) + 4, (byte) (on ? 1 : 0));
+    }
+
+    @Override
+    public void fetchList() {
+      next(257, inst);
+    }
+
+    @Override
+    public void tell(int peer, byte[] words) {
+      int at = next(263, inst);
+      records.putShort(at + 4, (short) peer);
+      attachBytes(at + 6, words);
+    }
+
+    @Override
+    public void note(String text) {
+      attachBytes(next(264, inst) + 4, text.getBytes(StandardCharsets.UTF_8));
+    }
+  }
 }
--- a/src/main/java/saltlatch/simhost/SimHost.java
+++ b/src/main/java/saltlatch/simhost/SimHost.java
@@ -21,182 +21,182 @@
 
 /** Hosts module instances on the simulator's wire: frames in, frames out. It decides nothing. */
 public final class SimHost {
-    private static final int HEADER = 12;
-    private static final int RECORD = 48;
-    private static final int ENTRY = 23;
-    private static final Event.Condition[] CONDITIONS = Event.Condition.values();
-    private static final Event.ListKind[] LISTS = Event.ListKind.values();
-    private static final Event.Outcome[] OUTCOMES = Event.Outcome.values();
+  private static final int HEADER = 12;
+  private static final int RECORD = 48;
+  private static final int ENTRY = 23;
+  private static final Event.Condition[] CONDITIONS = Event.Condition.values();
+  private static final Event.ListKind[] LISTS = Event.ListKind.values();
+  private static final Event.Outcome[] OUTCOMES = Event.Outcome.values();
 
-    private static final class Malformed extends Exception {
-        private static final long serialVersionUID = 1;
+  private static final class Malformed extends Exception {
+    private static final long serialVersionUID = 1;
 
-        Malformed(String why) {
-            super(why);
-        }
+    Malformed(String why) {
+      super(why);
     }
+  }
 
-    private final Gateway.Maker maker;
-    private final Map<Integer, Gateway> gateways = new HashMap<>();
-    private final Reply reply = new Reply();
-
-    public SimHost(Gateway.Maker maker) {
-        this.maker = maker;
-    }
+  private final Gateway.Maker maker;
+  private final Map<Integer, Gateway> gateways = new HashMap<>();
+  private final Reply reply = new Reply();
 
-    /** Runs until input ends; the exit code is 0 then, and 2 for a malformed frame. */
-    public int run(InputStream rawIn, OutputStream rawOut, PrintStream err) throws IOException {
-        DataInputStream in = new DataInputStream(new BufferedInputStream(rawIn, 1 << 16));
-        OutputStream out = new BufferedOutputStream(rawOut, 1 << 16);
-        while (true) {
-            int first = in.read();
-            if (first < 0) {
-                return 0;
-            }
-            try {
-                byte[] rest = in.readNBytes(3);
-                if (rest.length < 3) {
-                    throw new Malformed("input ends inside a length");
-                }
-                long size = first | (rest[0] & 255L) << 8 | (rest[1] & 255L) << 16 | (rest[2] & 255L) << 24;
-                if (size < HEADER || size > Integer.MAX_VALUE - 8) {
-                    throw new Malformed("a frame cannot have " + size + " bytes");
-                }
-                byte[] body = in.readNBytes((int) size);
-                if (body.length < size) {
-                    throw new Malformed("input ends inside a frame of " + size + " bytes");
-                }
-                answer(ByteBuffer.wrap(body).order(ByteOrder.LITTLE_ENDIAN), out);
-            } catch (Malformed | EOFException e) {
-                err.println("saltlatch simhost: malformed frame: " + e.getMessage());
-                return 2;
-            }
-        }
-    }
+  public SimHost(Gateway.Maker maker) {
+    this.maker = maker;
+  }
 
-    private void answer(ByteBuffer in, OutputStream out) throws Malformed, IOException {
-        long now = Reply.tenths(in.getDouble(0));
-        long count = in.getInt(8) & 0xffffffffL;
-        long tail = HEADER + count * RECORD;
-        if (tail > in.capacity()) {
-            throw new Malformed(count + " records do not fit into " + in.capacity() + " bytes");
+  /** Runs until input ends; the exit code is 0 then, and 2 for a malformed frame. */
+  public int run(InputStream rawIn, OutputStream rawOut, PrintStream err) throws IOException {
+    DataInputStream in = new DataInputStream(new BufferedInputStream(rawIn, 1 << 16));
+    OutputStream out = new BufferedOutputStream(rawOut, 1 << 16);
+    while (true) {
+      int first = in.read();
+      if (first < 0) {
+        return 0;
+      }
+      try {
+        byte[] rest = in.readNBytes(3);
+        if (rest.length < 3) {
+          throw new Malformed("input ends inside a length");
         }
-        reply.clear();
-        Map<Integer, List<Event>> parts = new LinkedHashMap<>();
-        for (int at = HEADER; at < tail; at += RECORD) {
-            int code = in.getShort(at) & 0xffff;
-            int inst = in.getShort(at + 2) & 0xffff;
-            if (code == 256 || code == 265) {
-                deliver(now, inst, parts.remove(inst));
-                gateways.remove(inst);
-            }
-            if (code == 256) {
-                String text = new String(bytes(in, at + 12, (int) tail, 1), StandardCharsets.UTF_8);
-                attach(now, inst, in.getLong(at + 4), text);
-            } else if (code != 265) {
-                parts.computeIfAbsent(inst, k -> new ArrayList<>()).add(event(in, code, at, (int) tail));
-            }
+        long size = first | (rest[0] & 255L) << 8 | (rest[1] & 255L) << 16 | (rest[2] & 255L) << 24;
+        if (size < HEADER || size > Integer.MAX_VALUE - 8) {
+          throw new Malformed("a frame cannot have " + size + " bytes");
         }
-        for (Map.Entry<Integer, List<Event>> part : parts.entrySet()) {
-            deliver(now, part.getKey(), part.getValue());
+        byte[] body = in.readNBytes((int) size);
+        if (body.length < size) {
+          throw new Malformed("input ends inside a frame of " + size + " bytes");
         }
-        reply.write(out);
-        out.flush();
+        answer(ByteBuffer.wrap(body).order(ByteOrder.LITTLE_ENDIAN), out);
+      } catch (Malformed | EOFException e) {
+        err.println("saltlatch simhost: malformed frame: " + e.getMessage());
+        return 2;
+      }
     }
+  }
 
-    private void attach(long now, int inst, long seed, String text) throws Malformed {
-        try {
-            gateways.put(inst, maker.start(now, Reader.site(text, seed), reply.of(inst)));
-        } catch (com.google.gson.JsonParseException | IllegalStateException e) {
-            throw new Malformed("settings: " + e.getMessage());
-        }
+  private void answer(ByteBuffer in, OutputStream out) throws Malformed, IOException {
+    long now = Reply.tenths(in.getDouble(0));
+    long count = in.getInt(8) & 0xffffffffL;
+    long tail = HEADER + count * RECORD;
+    if (tail > in.capacity()) {
+      throw new Malformed(count + " records do not fit into " + in.capacity() + " bytes");
+    }
+    reply.clear();
+    Map<Integer, List<Event>> parts = new LinkedHashMap<>();
+    for (int at = HEADER; at < tail; at += RECORD) {
+      int code = in.getShort(at) & 0xffff;
+      int inst = in.getShort(at + 2) & 0xffff;
+      if (code == 256 || code == 265) {
+        deliver(now, inst, parts.remove(inst));
+        gateways.remove(inst);
+      }
+      if (code == 256) {
+        String text = new String(bytes(in, at + 12, (int) tail, 1), StandardCharsets.UTF_8);
+        attach(now, inst, in.getLong(at + 4), text);
+      } else if (code != 265) {
+        parts.computeIfAbsent(inst, k -> new ArrayList<>()).add(event(in, code, at, (int) tail));
+      }
+    }
+    for (Map.Entry<Integer, List<Event>> part : parts.entrySet()) {
+      deliver(now, part.getKey(), part.getValue());
     }
+    reply.write(out);
+    out.flush();
+  }
 
-    private void deliver(long now, int inst, List<Event> events) {
-        Gateway gateway = gateways.get(inst);
-        if (gateway == null || events == null) {
-            return;
-        }
-        try {
-            gateway.handle(now, events);
-        } catch (RuntimeException e) {
-            StackTraceElement[] trace = e.getStackTrace();
-            reply.of(inst).crash(e + (trace.length > 0 ? " at " + trace[0] : ""));
-            gateways.remove(inst);
-        }
+  private void attach(long now, int inst, long seed, String text) throws Malformed {
+    try {
+      gateways.put(inst, maker.start(now, Reader.site(text, seed), reply.of(inst)));
+    } catch (com.google.gson.JsonParseException | IllegalStateException e) {
+      throw new Malformed("settings: " + e.getMessage());
     }
+  }
 
-    private static Event event(ByteBuffer in, int code, int at, int tail) throws Malformed {
-        long rid = in.getInt(at + 4) & 0xffffffffL;
-        switch (code) {
-            case 257:
-                return listed(in, at, tail);
-            case 258:
-                return new Event.Arrived(rid, in.get(at + 22) & 255, in.getShort(at + 8) & 0xffff, in.getLong(at + 23),
-                        Reply.tenths(in.getDouble(at + 10)), in.getFloat(at + 33), Math.round(in.getFloat(at + 18)),
-                        Math.round(in.getFloat(at + 37)), (in.getShort(at + 31) & 2) != 0);
-            case 259:
-                return new Event.Begun(rid, in.getInt(at + 16) & 0xffffffffL, in.get(at + 20) & 255,
-                        Reply.tenths(in.getDouble(at + 8)));
-            case 260:
-                return new Event.Ended(rid, in.getInt(at + 11) & 0xffffffffL, in.get(at + 26) & 255,
-                        pick(OUTCOMES, in.get(at + 15)), in.get(at + 8) != 0, Reply.tenths(in.getDouble(at + 18)),
-                        in.getShort(at + 16) & 0xffff, in.getShort(at + 9) & 0xffff, load(in, at + 27));
-            case 261:
-                return new Event.ClientLeft(rid);
-            case 262:
-                return new Event.Due(in.getLong(at + 4));
-            case 263:
-                return new Event.Probed(in.getInt(at + 12) & 0xffffffffL, pick(OUTCOMES, in.get(at + 16)),
-                        Reply.tenths(in.getDouble(at + 4)), load(in, at + 17));
-            case 264:
-                return new Event.Heard(in.getShort(at + 4) & 0xffff, bytes(in, at + 6, tail, 1));
-            case 266:
-                return new Event.Counted(in.getLong(at + 4), pick(OUTCOMES, in.get(at + 12)), in.getFloat(at + 13),
-                        Reply.tenths(in.getDouble(at + 17)));
-            default:
-                throw new Malformed("unknown event code " + code);
-        }
+  private void deliver(long now, int inst, List<Event> events) {
+    Gateway gateway = gateways.get(inst);
+    if (gateway == null || events == null) {
+      return;
+    }
+    try {
+      gateway.handle(now, events);
+    } catch (RuntimeException e) {
+      StackTraceElement[] trace = e.getStackTrace();
+      reply.of(inst).crash(e + (trace.length > 0 ? " at " + trace[0] : ""));
+      gateways.remove(inst);
     }
+  }
 
-    private static Event listed(ByteBuffer in, int at, int tail) throws Malformed {
-        ByteBuffer data = ByteBuffer.wrap(bytes(in, at + 9, tail, ENTRY)).order(ByteOrder.LITTLE_ENDIAN);
-        List<Event.Entry> entries = new ArrayList<>();
-        for (int e = 0; e < data.capacity(); e += ENTRY) {
-            entries.add(new Event.Entry(data.getInt(e) & 0xffffffffL, Reply.tenths(data.getDouble(e + 4)),
-                    data.getShort(e + 12) & 0xffff, data.getShort(e + 14) & 0xffff,
-                    pick(CONDITIONS, data.get(e + 16)), data.getFloat(e + 17), data.getShort(e + 21) & 0xffff));
-        }
-        return new Event.Listed(pick(LISTS, in.get(at + 4)), entries);
+  private static Event event(ByteBuffer in, int code, int at, int tail) throws Malformed {
+    long rid = in.getInt(at + 4) & 0xffffffffL;
+    switch (code) {
+      case 257:
+        return listed(in, at, tail);
+      case 258:
+        return new Event.Arrived(rid, in.get(at + 22) & 255, in.getShort(at + 8) & 0xffff,
+            in.getLong(at + 23), Reply.tenths(in.getDouble(at + 10)), in.getFloat(at + 33), Math.round(in.getFloat(at + 18)),
+            Math.round(in.getFloat(at + 37)), (in.getShort(at + 31) & 2) != 0);
+      case 259:
+        return new Event.Begun(rid, in.getInt(at + 16) & 0xffffffffL, in.get(at + 20) & 255,
+            Reply.tenths(in.getDouble(at + 8)));
+      case 260:
+        return new Event.Ended(rid, in.getInt(at + 11) & 0xffffffffL, in.get(at + 26) & 255,
+            pick(OUTCOMES, in.get(at + 15)), in.get(at + 8) != 0, Reply.tenths(in.getDouble(at + 18)),
+            in.getShort(at + 16) & 0xffff, in.getShort(at + 9) & 0xffff, load(in, at + 27));
+      case 261:
+        return new Event.ClientLeft(rid);
+      case 262:
+        return new Event.Due(in.getLong(at + 4));
+      case 263:
+        return new Event.Probed(in.getInt(at + 12) & 0xffffffffL, pick(OUTCOMES, in.get(at + 16)),
+            Reply.tenths(in.getDouble(at + 4)), load(in, at + 17));
+      case 264:
+        return new Event.Heard(in.getShort(at + 4) & 0xffff, bytes(in, at + 6, tail, 1));
+      case 266:
+        return new Event.Counted(in.getLong(at + 4), pick(OUTCOMES, in.get(at + 12)), in.getFloat(at + 13),
+            Reply.tenths(in.getDouble(at + 17)));
+      default:
+        throw new Malformed("unknown event code " + code);
     }
+  }
 
-    private static byte[] bytes(ByteBuffer in, int at, int tail, int width) throws Malformed {
-        long from = tail + (in.getInt(at) & 0xffffffffL);
-        long size = (in.getInt(at + 4) & 0xffffffffL) * width;
-        if (from + size > in.capacity()) {
-            throw new Malformed("a field points behind the tail's end");
-        }
-        byte[] data = new byte[(int) size];
-        in.get((int) from, data);
-        return data;
+  private static Event listed(ByteBuffer in, int at, int tail) throws Malformed {
+    ByteBuffer data = ByteBuffer.wrap(bytes(in, at + 9, tail, ENTRY)).order(ByteOrder.LITTLE_ENDIAN);
+    List<Event.Entry> entries = new ArrayList<>();
+    for (int e = 0; e < data.capacity(); e += ENTRY) {
+      entries.add(new Event.Entry(data.getInt(e) & 0xffffffffL, Reply.tenths(data.getDouble(e + 4)),
+          data.getShort(e + 12) & 0xffff, data.getShort(e + 14) & 0xffff,
+          pick(CONDITIONS, data.get(e + 16)), data.getFloat(e + 17), data.getShort(e + 21) & 0xffff));
     }
+    return new Event.Listed(pick(LISTS, in.get(at + 4)), entries);
+  }
 
-    private static List<Double> load(ByteBuffer in, int at) throws Malformed {
-        int n = in.get(at) & 255;
-        if (n > 4) {
-            throw new Malformed("a load report cannot have " + n + " values");
-        }
-        List<Double> values = new ArrayList<>(n);
-        for (int i = 0; i < n; i++) {
-            values.add((double) in.getFloat(at + 1 + 4 * i));
-        }
-        return values;
+  private static byte[] bytes(ByteBuffer in, int at, int tail, int width) throws Malformed {
+    long from = tail + (in.getInt(at) & 0xffffffffL);
+    long size = (in.getInt(at + 4) & 0xffffffffL) * width;
+    if (from + size > in.capacity()) {
+      throw new Malformed("a field points behind the tail's end");
     }
+    byte[] data = new byte[(int) size];
+    in.get((int) from, data);
+    return data;
+  }
 
-    private static <E> E pick(E[] from, byte code) throws Malformed {
-        if (code < 0 || code >= from.length) {
-            throw new Malformed("code " + code + " is not one of " + from.length);
-        }
-        return from[code];
+  private static List<Double> load(ByteBuffer in, int at) throws Malformed {
+    int n = in.get(at) & 255;
+    if (n > 4) {
+      throw new Malformed("a load report cannot have " + n + " values");
+    }
+    List<Double> values = new ArrayList<>(n);
+    for (int i = 0; i < n; i++) {
+      values.add((double) in.getFloat(at + 1 + 4 * i));
+    }
+    return values;
+  }
+
+  private static <E> E pick(E[] from, byte code) throws Malformed {
+    if (code < 0 || code >= from.length) {
+      throw new Malformed("code " + code + " is not one of " + from.length);
     }
+    return from[code];
+  }
 }
