--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -12,10 +12,10 @@
 import saltlatch.api.Site;
 
 /**
- * The decision module: every decision of an edge node. A host makes one Control for each instance from what is
- * read at start ({@link Site}), calls {@link #handle} with the events of one instant, and does what comes out
- * through {@link Actions}; the interface stands in saltlatch.api. Event handlers only change what is wanted of a
- * req (its next app srv, its end, its wake-up, dispatches given up) and of the instance (count calls);
+ * The decision module: every decision of an edge node. A host makes one Control an instance from what is read
+ * at start ({@link Site}), calls {@link #handle} with the events of one instant, and does what comes out
+ * through {@link Actions}; the interface stands in saltlatch.api. Event handlers only change what is wanted:
+ * of a req (its next app srv, its end, its wake-up, dispatches given up), of the instance (count calls);
  * {@link #bring} alone works out the difference to what is and emits it. docs/design.md tells the reasons.
  */
 public final class Control implements Gateway {
@@ -43,6 +43,7 @@
   static final double LEARN = 0.02; // step of the mean time a unit takes: about 50 dispatches
   static final double LEAST_UNIT = 0.1; // units: keeps the time a unit takes finite
   static final double FIRST_PACE = 0.25; // part of the response target a dispatch is first thought to take
+  static final double SICK = 3; // times the fleet's time: an app srv that bad tells nothing of the others
   static final double CROWD = 2; // times its fair part of what is out that an app srv may hold
   static final double CROWD_FREE = 2; // dispatches out that never make an app srv crowded
   static final double CREDIT = 2; // turns an app srv may be ahead or behind, so that none saves up a rush
@@ -68,6 +69,7 @@
     boolean out = true;
     boolean givenUp; // wanted: no longer out
     boolean cancelled;
+    boolean stale; // past its response target on a sick app srv: no longer counted as out
   }
 
   /** Lives for one req. */
@@ -240,9 +242,9 @@
       call(r.window, r, r.charged);
       return;
     }
-    // Guards against a counter that is silent, refusing, full or slow: reqs are decided on this node's share at
-    // once and a call goes out every gap, carrying what is owed for the customer. Covers any cause of missing
-    // answers; harms a little where two calls in a row are lost by chance.
+    // Guards against a counter that is silent, refusing, full or slow: reqs are decided on this node's share
+    // at once and a call goes out every gap, carrying what is owed for the customer. Covers any cause of
+    // missing answers; harms a little where two calls in a row are lost by chance.
     decide(r, hasLocalRoom(r));
     r.window.owed += r.admitted ? r.reserved : 0;
     if (site.counting().open() && now >= nextCall) {
@@ -406,7 +408,7 @@
     return r.again && r.customer.spent ? KEPT_BACK * r.customer.plan.burst() : 0;
   }
 
-  /** This node's part of the hard ceiling, from local knowledge: rate and amount over the customer's nodes. */
+  /** This node's part of the hard ceiling, from local knowledge: rate and amount over its nodes. */
   private boolean ceilingAllows(Customer c, double units) {
     if (c.plan.ceilingRate() <= 0) return true;
     double filled = (now - c.storeAt) * c.plan.ceilingRate() / 10_000 / c.width;
@@ -447,14 +449,18 @@
   }
 
   /**
-   * What it has been seen to manage: dispatches for the time they took, what is out counting as unfinished and
-   * a failed dispatch as time lost. One judgement for slow, pausing, failing and dead app srvs alike; squared,
+   * What it has been seen to manage: dispatches for the time they took, what is out counting as unfinished
+   * and a failed one as time lost. One judgement for slow, pausing, failing and dead app srvs alike; squared,
    * since a slow one is slower still by its queue. Harms an app srv that drew a few very costly reqs.
    */
-  private double weight(Srv s) {
+  private double slowness(Srv s) {
     fade(s);
     double age = Math.max(0, now * s.paceSum - s.paceBase);
-    double slowness = (s.busy + age + PRIOR) / (s.done + PRIOR);
+    return (s.busy + age + PRIOR) / (s.done + PRIOR);
+  }
+
+  private double weight(Srv s) {
+    double slowness = slowness(s);
     return Math.max(LEAST_UNIT, s.rating) * warmth(s) / (slowness * slowness);
   }
 
@@ -569,7 +575,7 @@
   private void learn(Req r, Dispatch d, Outcome how) {
     Srv s = d.srv;
     s.out--;
-    out--;
+    out -= d.stale ? 0 : 1;
     s.paceSum = s.out == 0 ? 0 : s.paceSum - 1 / d.pace;
     s.paceBase = s.out == 0 ? 0 : s.paceBase - d.sent / d.pace;
     fade(s);
@@ -645,8 +651,8 @@
 
   /**
    * Guards against queues that outlast the response target (overload, dead or slowed app srvs, retry storms):
-   * by Little's law what is out over what passes a second is how long a dispatch takes now. Beyond the part of
-   * the target allowed a req is denied at once, cheap ones sooner. Harms where app srvs answer in bursts.
+   * by Little's law what is out over what passes a second is how long a dispatch takes now. Beyond the part
+   * of the target allowed a req is denied at once, cheap ones sooner. Harms where app srvs answer in bursts.
    */
   private boolean pressed(Req r) {
     double value = r.customer.plan.price() * r.kind.rule.value();
@@ -660,6 +666,12 @@
     passed *= Math.exp(-ROUND / RATE_TIME);
     unitsSent *= Math.exp(-ROUND / Math.max(1.0, rules.fallTime()));
     weighFleet();
+    reqs.each(r -> r.sent.forEach(d -> {
+      // Guards against stuck dispatches on a few bad app srvs taking up what may be out and denying the rest.
+      if (!d.out || d.stale || now - d.sent <= r.kind.rule.target() || slowness(d.srv) < SICK) return;
+      d.stale = true;
+      out--;
+    }));
     windows.each(w -> {
       if (w.owed != 0 && gap == 0 && now < w.turn + longest && site.counting().open()) call(w, null, 0);
       if (now > w.turn + longest && w.calls.isEmpty()) windows.release(w.name);
@@ -723,7 +735,8 @@
     unitsSent += r.told.units();
     if (warmth(d.srv) < 1) d.srv.coldSent.add(new double[] {now, r.told.units()});
     hedges = Math.min(HEDGE_STORE, hedges + HEDGE_PART);
-    if (rules.secondCopies() && r.sent.size() == 1) r.wake = Math.min(r.end, now + (long) (d.pace * HEDGE_AFTER));
+    long second = now + (long) (d.pace * HEDGE_AFTER);
+    if (rules.secondCopies() && r.sent.size() == 1) r.wake = Math.min(r.end, second);
     to.dispatch(r.told.rid(), d.srv.id, r.end - now);
   }
 }
