--- /dev/null
+++ b/src/test/java/saltlatch/ControlTest.java
@@ -0,0 +1,268 @@
+package saltlatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import saltlatch.api.Event;
+import saltlatch.api.Event.Outcome;
+import saltlatch.api.Site;
+
+/** Each test prints a short trace of decisions; the kept ones are in src/test/resources/traces, to be read. */
+class ControlTest {
+  private static final int REPLAYABLE = 0;
+  private static final int UNIQUED = 1;
+  private static final int ONCE = 2;
+
+  private final Trace t = new Trace(Trace.site(Trace.FIRM, false, false));
+
+  /** Under the limit a req passes on the total, at the limit it is denied and its reservation given back. */
+  @Test
+  void ordinaryPath() throws IOException {
+    t.list("11/1", "12/1");
+    t.arrive(1, REPLAYABLE, 3);
+    t.now += 20;
+    t.counted(3);
+    t.arrive(2, REPLAYABLE, 3);
+    t.now += 20;
+    t.counted(8); // another node charged 2
+    t.arrive(3, REPLAYABLE, 3);
+    t.now += 20;
+    t.counted(11);
+    t.now += 20;
+    t.counted(8);
+    t.ended(1, 0, Outcome.PASSED);
+    t.ended(2, 0, Outcome.PASSED);
+    t.matches("ordinary-path");
+  }
+
+  /** Units told afterwards: the reservation starts from the guess, is settled on its window and learns. */
+  @Test
+  void settling() throws IOException {
+    t.start(Trace.site(Trace.FIRM, true, false));
+    t.list("11/1");
+    t.arrive(1, REPLAYABLE, 1);
+    t.counted(1);
+    t.ended(1, 0, Outcome.PASSED, 3);
+    t.counted(3);
+    t.arrive(2, REPLAYABLE, 1);
+    t.counted(9);
+    t.ended(2, 0, Outcome.PASSED, 2);
+    t.matches("settling");
+  }
+
+  /** No answers: two misses lead to the local share and a few testing calls; prompt answers lead back. */
+  @Test
+  void silentCounter() throws IOException {
+    t.list("11/1", "12/1", "13/1", "14/1");
+    t.arrive(1, REPLAYABLE, 1);
+    t.arrive(2, REPLAYABLE, 1);
+    t.pass(300);
+    t.counted(Outcome.LATE);
+    t.counted(Outcome.LATE);
+    for (int i = 3; i < 7; i++) {
+      t.pass(50);
+      t.arrive(i, REPLAYABLE, 1);
+    }
+    t.say("it answers again");
+    for (int i = 7; i < 220; i++) {
+      t.muted = i > 9 && i < 218;
+      t.pass(100);
+      t.counted(2);
+      t.arrive(i, REPLAYABLE, 0.01);
+      t.ended(i, 0, Outcome.PASSED);
+    }
+    t.counted(2);
+    t.matches("silent-counter");
+  }
+
+  /** A counter that never answers still leaves every req with one final answer in time. */
+  @Test
+  void neverAnswered() throws IOException {
+    t.list("11/1");
+    t.arrive(1, REPLAYABLE, 1);
+    t.pass(40_000);
+    t.matches("never-answered");
+  }
+
+  /** A total below what this node was answered for: the known floor decides for the rest of the window. */
+  @Test
+  void lostCounts() throws IOException {
+    t.list("11/1");
+    t.arrive(1, REPLAYABLE, 3);
+    t.counted(5);
+    t.arrive(2, REPLAYABLE, 1);
+    t.counted(1); // 5 was forgotten
+    t.arrive(3, REPLAYABLE, 1);
+    t.counted(2);
+    t.matches("lost-counts");
+  }
+
+  /** Once spent, first tries take the room that comes back; further tries wait until plenty is there. */
+  @Test
+  void furtherTries() throws IOException {
+    t.list("11/1");
+    t.arrive(1, REPLAYABLE, 6);
+    t.counted(6);
+    t.arrive(2, REPLAYABLE, 1);
+    t.counted(7);
+    t.counted(6);
+    t.pass(10_000);
+    t.arrive(3, REPLAYABLE, 1, true);
+    t.counted(7);
+    t.counted(6);
+    t.arrive(4, REPLAYABLE, 1);
+    t.counted(7);
+    t.matches("further-tries");
+  }
+
+  /** A non-replayable dispatch that may have run ends in an abort; one that never ran goes elsewhere. */
+  @Test
+  void nonReplayable() throws IOException {
+    t.list("11/1", "12/1");
+    t.arrive(1, ONCE, 1);
+    t.counted(1);
+    t.ended(1, 0, Outcome.FULL);
+    t.ended(1, 1, Outcome.LATE);
+    t.arrive(2, ONCE, 1);
+    t.counted(2);
+    t.ended(2, 0, Outcome.NOT_CONNECTED);
+    t.ended(2, 1, Outcome.NOT_CONNECTED);
+    t.ended(2, 2, Outcome.NOT_CONNECTED);
+    t.ended(2, 3, Outcome.NOT_CONNECTED);
+    t.matches("non-replayable");
+  }
+
+  /** A uniqued req that may have run is repeated in its cell while that remembers it, and aborted after. */
+  @Test
+  void uniqued() throws IOException {
+    t.list("11/1", "12/2", "13/1");
+    t.arrive(1, UNIQUED, 1);
+    t.counted(1);
+    t.ended(1, 0, Outcome.BROKEN);
+    t.ended(1, 1, Outcome.BROKEN);
+    t.arrive(2, UNIQUED, 1);
+    t.counted(2);
+    t.pass(19_990);
+    t.ended(2, 0, Outcome.BROKEN);
+    t.list("12/2");
+    t.arrive(3, UNIQUED, 1);
+    t.counted(1);
+    t.list("11/1");
+    t.ended(3, 0, Outcome.ERROR);
+    t.matches("uniqued");
+  }
+
+  /** Nothing new goes to an app srv that drains or left the list, not even a further dispatch. */
+  @Test
+  void drains() throws IOException {
+    t.list("11/1", "12/1");
+    t.arrive(1, REPLAYABLE, 1);
+    t.counted(1);
+    t.list("11/1 draining");
+    t.ended(1, 0, Outcome.FULL);
+    t.arrive(2, REPLAYABLE, 1);
+    t.counted(2);
+    t.counted(1);
+    t.list("12/1");
+    t.arrive(3, REPLAYABLE, 1);
+    t.counted(2);
+    t.matches("drains");
+  }
+
+  /** A cold app srv beside a warm one gets its first req and then only what the budget holds. */
+  @Test
+  void coldStart() {
+    t.start(Trace.site(new Site.Plan(0, 0, 0, 0, 0, 1), false, false));
+    t.list("11/1", "12/1", "13/1", "14/1", "15/1 cold");
+    for (int i = 0; i < 200; i++) {
+      t.arrive(i, REPLAYABLE, 1);
+      t.now += 50;
+      if (t.count("dispatch req " + i + " to") > 0) {
+        t.ended(i, 0, Outcome.PASSED);
+      }
+    }
+    assertEquals(200, t.count("dispatch req"));
+    assertTrue(t.count("to 15 for") >= 1 && t.count("to 15 for") <= 16, "cold got " + t.count("to 15 for"));
+  }
+
+  /** The ceiling's part is empty at start and after a restart: a restart fills nothing. */
+  @Test
+  void ceilingAcrossRestart() throws IOException {
+    Site site = Trace.site(new Site.Plan(20, 60, 0, 10, 20, 1), false, false);
+    t.start(site);
+    t.list("11/1");
+    t.arrive(1, REPLAYABLE, 4);
+    t.counted(4);
+    t.counted(0);
+    t.pass(10_000);
+    t.arrive(2, REPLAYABLE, 4);
+    t.counted(4);
+    t.say("restart");
+    t.start(site);
+    t.list("11/1");
+    t.arrive(3, REPLAYABLE, 4);
+    t.counted(8);
+    t.matches("ceiling-across-restart");
+  }
+
+  /** More out than passes within the target's part is denied at once; what passes opens it again. */
+  @Test
+  void pressure() throws IOException {
+    t.start(Trace.site(new Site.Plan(0, 0, 0, 0, 0, 1), false, false));
+    t.list("11/1", "12/1");
+    for (int i = 1; i <= 5; i++) {
+      t.arrive(i, REPLAYABLE, 1);
+    }
+    t.ended(1, 0, Outcome.PASSED);
+    t.arrive(6, REPLAYABLE, 1);
+    t.matches("pressure");
+  }
+
+  /** Dispatches stuck on one sick app srv do not use up what may be out beside it. */
+  @Test
+  void sickSrv() {
+    t.start(Trace.site(new Site.Plan(0, 0, 0, 0, 0, 1), false, false));
+    t.list("11/1", "12/1");
+    int stuck = 0;
+    for (int i = 0; i < 400; i++) {
+      t.arrive(i, REPLAYABLE, 1);
+      t.pass(100);
+      if (t.count("dispatch req " + i + " to 12") > 0) {
+        t.ended(i, 0, Outcome.PASSED);
+      } else if (t.count("dispatch req " + i + " to 11") > 0) {
+        stuck++;
+      }
+    }
+    assertTrue(stuck < 12, "stuck " + stuck);
+    assertTrue(t.count("to 12 for") > 340, "passed " + t.count("to 12 for"));
+  }
+
+  /** Where discovery must be asked, a failed call is made again. */
+  @Test
+  void following() throws IOException {
+    t.start(Trace.site(Trace.FIRM, false, true));
+    t.list("11/1");
+    t.say("the call failed");
+    t.tell(new Event.Listed(Event.ListKind.FAILED, List.of()));
+    t.pass(3_000);
+    t.matches("following");
+  }
+
+  /** A begun stream has no client timeout; a client that left is owed nothing. */
+  @Test
+  void streamsAndLeavers() throws IOException {
+    t.list("11/1");
+    t.arrive(1, REPLAYABLE, 1);
+    t.counted(1);
+    t.tell(new Event.Begun(1, 11, 0, 10));
+    t.pass(40_000);
+    t.ended(1, 0, Outcome.PASSED);
+    t.arrive(2, REPLAYABLE, 1);
+    t.tell(new Event.ClientLeft(2));
+    t.counted(1);
+    t.matches("streams-and-leavers");
+  }
+}
--- /dev/null
+++ b/src/test/java/saltlatch/SimHostTest.java
@@ -0,0 +1,148 @@
+package saltlatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
+import org.junit.jupiter.api.Test;
+import saltlatch.api.Actions;
+import saltlatch.api.Event;
+import saltlatch.api.Gateway;
+import saltlatch.simhost.SimHost;
+
+/** Bytes in and out of the adapter, with a module that does one of everything. */
+class SimHostTest {
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+  private final StringBuilder told = new StringBuilder();
+
+  private static final String SITE = "{\"peersTotal\":2,\"quantum\":2.0,\"unknown\":{\"x\":[1]},\"categories\":[{"
+      + "\"effect\":\"deduplicated\",\"keyScope\":\"cell\",\"window\":8000,\"aim\":1000,\"deadline\":4000}],"
+      + "\"limits\":{\"sendCap\":4},\"familyInfo\":{\"counter\":true,\"countLimit\":30}}";
+
+  private int run(byte[] in, Gateway.Maker maker) throws IOException {
+    return new SimHost(maker).run(new ByteArrayInputStream(in), out, new PrintStream(err));
+  }
+
+  private static byte[] frame(double ms, byte[] tail, byte[]... records) {
+    ByteBuffer b = ByteBuffer.allocate(16 + 48 * records.length + tail.length).order(ByteOrder.LITTLE_ENDIAN);
+    b.putInt(12 + 48 * records.length + tail.length).putDouble(ms).putInt(records.length);
+    for (byte[] r : records) {
+      b.put(r, 0, r.length).position(b.position() + 48 - r.length);
+    }
+    return b.put(tail).array();
+  }
+
+  private static byte[] hex(String text) {
+    return HexFormat.of().parseHex(text.replace(" ", ""));
+  }
+
+  private static byte[] attach(int length) {
+    ByteBuffer b = ByteBuffer.allocate(20).order(ByteOrder.LITTLE_ENDIAN);
+    return b.putShort((short) 256).putShort((short) 3).putLong(5).putInt(0).putInt(length).array();
+  }
+
+  private static byte[] site() {
+    return SITE.getBytes(StandardCharsets.UTF_8);
+  }
+
+  @Test
+  void emptyBatchAndEnd() throws IOException {
+    assertEquals(0, run(frame(227.0625, new byte[0]), Control::new));
+    assertEquals("0400000000000000", HexFormat.of().formatHex(out.toByteArray()));
+  }
+
+  @Test
+  void everyEventAndAction() throws IOException {
+    byte[][] records = {attach(site().length),
+      hex("0201 0300 c4913a5d 0000 0000000000006e40 00004040 00 640ad2557c3bf091 0200 00000040 0000803f"),
+      hex("0301 0300 c4913a5d 0000000000802240 074a1203 01"),
+      hex("0401 0300 c4913a5d 01 5600 074a1203 00 0300 0000000000803240 02 01 0000803f"),
+      hex("0501 0300 192b6f0e"), hex("0601 0300 4d00000000000000"),
+      hex("0701 0300 0000000000000840 f211902c 04"), hex("0801 0300 0200 00000000 00000000"),
+      hex("0a01 0300 90f6890000000000 03 00001842 0000000000000040")};
+    int code = run(frame(1000, site(), records), (now, site, to) -> (at, events) -> {
+      told.append(site.frontends().get(0).effect()).append(' ').append(at).append('\n');
+      events.forEach(e -> told.append(e instanceof Event.Heard h ? "heard " + h.from() : e).append('\n'));
+      act(to);
+    });
+    assertEquals("", err.toString());
+    assertEquals(0, code);
+    assertEquals("""
+        UNIQUED 10000
+        Arrived[rid=1564119492, frontend=0, plan=0, customer=-7930773538597631388, left=2400, units=2.0, width=3, \
+        first=1, repeat=true]
+        Begun[rid=1564119492, srv=51530247, dispatch=1, spent=92]
+        Ended[rid=1564119492, srv=51530247, dispatch=2, how=PASSED, over=true, spent=185, actual=3.0, fleetUse=86.0, \
+        load=[1.0]]
+        ClientLeft[rid=242166553]
+        Due[handle=77]
+        Probed[srv=747639282, how=NOT_CONNECTED, spent=30, load=[]]
+        heard 2
+        Counted[name=9041552, how=LATE, total=38.0, spent=20]
+        """, told.toString());
+    String[] expected = {"21010000 0b000000",
+      "0301 0300 c4913a5d 0000000000005440 074a1203 00000000", "0401 0300 192b6f0e 0000000000406f40 0000000000000000",
+      "0601 0300 c4913a5d 00000000000000000000000000000000", "0501 0300 c4913a5d 02 000000000000000000000000000000",
+      "0901 0300 000000000068c040 4d00000000000000 00000000", "0a01 0300 f211902c 00000000000000000000000000000000",
+      "0001 0300 f211902c 00000000000000000000000000000000", "0b01 0300 90f6890000000000 00008040 000000000070a740",
+      "0c01 0300 01 00000000000000000000000000000000000000", "0701 0300 ffff 00000000 02000000 00000000000000000000",
+      "0801 0300 02000000 03000000 000000000000000000000000", "6869 776879"};
+    String all = String.join("", expected).replace(" ", "");
+    all = String.format("%08x", Integer.reverseBytes(all.length() / 2 - 4)) + all.substring(8);
+    assertEquals(all, HexFormat.of().formatHex(out.toByteArray()));
+  }
+
+  private static void act(Actions to) {
+    to.dispatch(0x5d3a91c4L, 0x03124a07L, 800);
+    to.deny(0x0e6f2b19L, 2500);
+    to.abort(0x5d3a91c4L);
+    to.cancel(0x5d3a91c4L, 2);
+    to.wake(84000, 77);
+    to.probe(0x2c9011f2L);
+    to.closeIdle(0x2c9011f2L);
+    to.count(9041552, 4, 30000);
+    to.follow(true);
+    to.tell(-1, "hi".getBytes(StandardCharsets.UTF_8));
+    to.note("why");
+  }
+
+  @Test
+  void moduleFailureIsACrash() throws IOException {
+    byte[] in = frame(1000, site(), attach(site().length), hex("0601 0300 4d00000000000000"));
+    assertEquals(0, run(in, (now, site, to) -> (at, events) -> {
+      throw new IllegalStateException("no such turn");
+    }));
+    assertEquals((byte) 2, out.toByteArray()[8]);
+    assertTrue(out.toString().contains("no such turn"));
+  }
+
+  @Test
+  void malformedFrames() throws IOException {
+    assertEquals(2, run(hex("0b000000 0000000000000000000000"), Control::new));
+    assertEquals(2, run(frame(1, new byte[0], hex("ff01 0300")), Control::new));
+    assertEquals(2, run(frame(1, new byte[0], attach(9)), Control::new));
+    assertEquals(2, run(frame(1, "{x}".getBytes(StandardCharsets.UTF_8), attach(3)), Control::new));
+    assertEquals(0, out.size());
+    assertEquals(4, err.toString().lines().filter(l -> l.startsWith("saltlatch simhost: malformed")).count());
+  }
+
+  /** Stopped and attached again in one batch: what was told before the stop is forgotten. */
+  @Test
+  void restartInOneBatch() throws IOException {
+    byte[] in = frame(1000, site(), attach(site().length), hex("0901 0300"), attach(site().length),
+        hex("0601 0300 4d00000000000000"), hex("0501 0400 192b6f0e"));
+    assertEquals(0, run(in, (now, site, to) -> {
+      told.append("start ");
+      return (at, events) -> told.append(events.size());
+    }));
+    assertEquals("start start 1", told.toString());
+  }
+}
