--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -54,6 +54,8 @@
   static final double RATE_TIME = 10_000; // 1 s: over this the rate of passed dispatches is taken
   static final double WAIT_PART = 0.3; // part of the response target that dispatches may take on average
   static final double FREE_OUT = 4; // dispatches out of all nodes for each warm app srv, free of pressure
+  static final double PROMPT = 0.5; // part of the response target after which a further try is belated
+  static final long VOTES = 100; // tries: how firmly the usual wait is held
   static final double VALUE_TILT = 0.3; // how much a req's value stretches the wait allowed
   static final double VALUE_STEP = 0.01; // step of the mean value: about 100 reqs
   static final double SPREAD_BACK = 0.5; // part of a window over which come-back advice is spread
@@ -77,7 +79,7 @@
     Event.Arrived told;
     Kind kind;
     Customer customer;
-    boolean again; // a client's further try, as marked or as its shorter wait tells
+    boolean belated; // a client's further try that is too late for its response target, by the wait left to it
     long end; // the final answer goes out by then
     Window window; // charged there; null where the plan has no quota
     double reserved;
@@ -148,9 +150,20 @@
   private static final class Kind {
     final Site.Frontend rule;
     double unitTime; // mean time a unit takes
-    long mostLeft; // longest wait a client's try has come with
+    long usualLeft; // the wait that most tries come with: first ones; found by majority vote
+    long votes;
 
     Kind(Site.Frontend rule) { this.rule = rule; }
+
+    boolean isUsual(long left, long tick) {
+      boolean usual = Math.abs(left - usualLeft) <= tick;
+      votes = usual ? Math.min(VOTES, votes + 1) : votes - 1;
+      if (votes < 0) {
+        votes = 1;
+        usualLeft = left;
+      }
+      return usual;
+    }
   }
 
   // Lives for the instance.
@@ -222,8 +235,9 @@
     r.customer = customer(a);
     r.end = now + a.left() - TICKS_SPARE * site.tick();
     r.wake = r.end;
-    r.kind.mostLeft = Math.max(r.kind.mostLeft, a.left());
-    r.again = a.repeat() || a.left() < r.kind.mostLeft - site.tick();
+    boolean further = !r.kind.isUsual(a.left(), site.tick()) && !rules.marksTries() || a.repeat();
+    long waited = a.left() > r.kind.usualLeft + site.tick() ? r.kind.rule.clientTimeout() - a.left() : longest;
+    r.belated = further && waited >= PROMPT * r.kind.rule.target();
     touch(r);
     if (r.end <= now) finish(r, End.DENIED, 0);
     else if (r.customer.plan.rate() <= 0) decide(r, true);
@@ -401,11 +415,11 @@
   }
 
   /**
-   * Guards against client tries that come back after a denial and take room from first tries: they are mostly
-   * past their response target by then. They pass only while plenty is left. Harms prompt second tries.
+   * Guards against client tries that come back past their response target and take room from first tries: they
+   * pass only while plenty is left. Harms nobody in time, unless a try's wait is told wrongly.
    */
   private double keptBack(Req r) {
-    return r.again && r.customer.spent ? KEPT_BACK * r.customer.plan.burst() : 0;
+    return r.belated && r.customer.spent ? KEPT_BACK * r.customer.plan.burst() : 0;
   }
 
   /** This node's part of the hard ceiling, from local knowledge: rate and amount over its nodes. */
@@ -658,7 +672,7 @@
     double value = r.customer.plan.price() * r.kind.rule.value();
     meanValue += (meanValue == 0 ? 1 : VALUE_STEP) * (value - meanValue);
     double tilt = meanValue <= 0 ? 0 : Math.max(-1, Math.min(1, (value - meanValue) / meanValue));
-    double wait = WAIT_PART * (r.again ? KEPT_BACK : 1) * (1 + VALUE_TILT * tilt) * r.kind.rule.target();
+    double wait = WAIT_PART * (r.belated ? KEPT_BACK : 1) * (1 + VALUE_TILT * tilt) * r.kind.rule.target();
     return out >= Math.max(FREE_OUT * warmSeen / Math.max(1, site.nodes()), wait * passed / RATE_TIME);
   }
 
--- a/src/main/java/saltlatch/api/Site.java
+++ b/src/main/java/saltlatch/api/Site.java
@@ -18,7 +18,8 @@
       double price) {}
 
   public record Rules(boolean mustFollow, boolean mayCancel, boolean secondCopies, int sendCap,
-      boolean mayAdvise, long longestPause, long cold, double coldFrom, double fallMultiple, long fallTime) {}
+      boolean mayAdvise, long longestPause, boolean marksTries, long cold, double coldFrom,
+      double fallMultiple, long fallTime) {}
 
   public record Counting(boolean open, long limit, boolean unitsAfter) {}
 }
