--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -54,7 +54,7 @@
   static final double RATE_TIME = 10_000; // 1 s: over this the rate of passed dispatches is taken
   static final double WAIT_PART = 0.3; // part of the response target that dispatches may take on average
   static final double FREE_OUT = 4; // dispatches out of all nodes for each warm app srv, free of pressure
-  static final double PROMPT = 0.5; // part of the response target after which a further try is belated
+  static final double PROMPT = 2; // mean dispatch times that a further try needs left of its response target
   static final long VOTES = 100; // tries: how firmly the usual wait is held
   static final double VALUE_TILT = 0.3; // how much a req's value stretches the wait allowed
   static final double VALUE_STEP = 0.01; // step of the mean value: about 100 reqs
@@ -235,9 +235,10 @@
     r.customer = customer(a);
     r.end = now + a.left() - TICKS_SPARE * site.tick();
     r.wake = r.end;
-    boolean further = !r.kind.isUsual(a.left(), site.tick()) && !rules.marksTries() || a.repeat();
-    long waited = a.left() > r.kind.usualLeft + site.tick() ? r.kind.rule.clientTimeout() - a.left() : longest;
-    r.belated = further && waited >= PROMPT * r.kind.rule.target();
+    boolean usual = r.kind.isUsual(a.left(), site.tick());
+    long waited = usual ? longest : r.kind.rule.clientTimeout() - a.left();
+    boolean further = rules.marksTries() ? a.repeat() : !usual;
+    r.belated = further && waited + PROMPT * pace(r) >= r.kind.rule.target();
     touch(r);
     if (r.end <= now) finish(r, End.DENIED, 0);
     else if (r.customer.plan.rate() <= 0) decide(r, true);
@@ -586,6 +587,11 @@
     if (!r.over && r.wantEnd == End.NONE && r.out() == 0) again(r, e.how());
   }
 
+  private double pace(Req r) {
+    if (r.kind.unitTime <= 0) return FIRST_PACE * r.kind.rule.target();
+    return Math.max(1, r.kind.unitTime * Math.max(LEAST_UNIT, r.told.units()));
+  }
+
   private void learn(Req r, Dispatch d, Outcome how) {
     Srv s = d.srv;
     s.out--;
@@ -738,8 +744,7 @@
     Dispatch d = new Dispatch();
     d.srv = r.next;
     d.sent = now;
-    d.pace = r.kind.unitTime <= 0 ? FIRST_PACE * r.kind.rule.target()
-        : Math.max(1, r.kind.unitTime * Math.max(LEAST_UNIT, r.told.units()));
+    d.pace = pace(r);
     r.sent.add(d);
     r.customer.out++;
     d.srv.out++;
