Bounded debt, own timed-out adds told from others', whole quota while plenty is freshly known

Cause, in jams with 8 to 12 nodes: a node took its own timed-out adds in a later total for another's, and what passes beyond a quota draws nothing from it, yet was held against the customer for a whole burst.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -27,6 +27,8 @@
   static final long ROUND = 1_000; // 100 ms between housekeepings: fine beside troubles of seconds
   static final double REFILLED = 0.9; // part of the burst at which a spent quota counts as filled again
   static final double KEPT_BACK = 0.5; // part of a burst, or of the wait allowed, kept from further tries
+  static final double DEBT = 0.6; // bursts: what passes beyond a quota draws nothing from it
+  static final double PLENTY = 0.5; // part of the burst that other nodes cannot use up before they are heard of
   static final double SHARE_STEP = 0.1; // step of the learned share of a customer's use: ten answers
   static final double SHARE_FROM = 0.25; // part of the burst that a total needs to teach the share
   static final double SHARE_LEAST = 0.5; // of an even share: traffic may come back within a window
@@ -118,6 +120,7 @@
     double top; // last total known, with what was lost
     double mine; // net units of this node that answers have confirmed
     double owed; // units charged or given back that no call has carried yet
+    double unsure; // units of timed-out adds since the last total
     double lost; // units that the counter forgot, by what this node knows
     final ArrayDeque<Call> calls = new ArrayDeque<>();
   }
@@ -139,6 +142,7 @@
     double share; // learned part of its use that comes through this node
     double room; // units its quota has left, as the totals seen show it; the share of it while alone
     long roomAt;
+    long heard = Long.MIN_VALUE / 2; // last answer of the counter
     boolean alone; // decided without the counter
     boolean spent; // a window's count reached the limit and the quota has not filled again since
     double store; // this node's part of the hard ceiling
@@ -294,7 +298,9 @@
     } else if (r != null) {
       decide(r, hasLocalRoom(r));
     }
-    // A timed-out add may have counted: it is taken as counted. What was turned away is owed again.
+    // A timed-out add may have counted: it is taken as counted, and not as another node's when it shows in a
+    // total. What was turned away is owed again.
+    if (c.how() == Outcome.LATE) w.unsure += call.units();
     double rest = answered || c.how() == Outcome.LATE ? 0 : call.units();
     if (r != null) {
       r.counting = false;
@@ -308,6 +314,7 @@
   /** Takes in a total: what others charged since the last one leaves the customer's room. */
   private void follow(Window w, double units, double total) {
     Customer c = w.customer;
+    c.heard = now;
     if (c.alone) {
       c.alone = false;
       c.room /= c.room > 0 ? c.share : 1;
@@ -320,7 +327,10 @@
       w.lost = Math.max(w.top + units, w.mine) - total;
       w.mine = total;
     }
-    c.room = Math.max(-c.plan.burst(), c.room - (total + w.lost - w.top - units));
+    double others = total + w.lost - w.top - units;
+    double known = Math.min(w.unsure, Math.max(0, others)); // timed-out adds of this node that did count
+    w.unsure = 0;
+    c.room = Math.max(-DEBT * c.plan.burst(), c.room - others + known);
     w.top = total + w.lost;
     if (w.top > SHARE_FROM * c.plan.burst()) {
       double part = Math.min(1, Math.max(SHARE_LEAST / c.width, w.mine / w.top));
@@ -404,10 +414,14 @@
     c.spent &= c.room < REFILLED * c.plan.burst() * part;
   }
 
-  /** Without the counter a customer has this node's learned share of its quota, while any of it is left. */
+  /**
+   * Without an answer a customer has this node's learned share of its quota, while any of it is left; but the
+   * whole, as long as a total heard within the last window shows plenty.
+   */
   private boolean hasLocalRoom(Req r) {
     Customer c = r.customer;
     fill(c);
+    if (!c.alone && now - c.heard < length(c.plan) && c.room > PLENTY * c.plan.burst()) return true;
     if (!c.alone) {
       c.alone = true;
       c.room *= c.room > 0 ? c.share : 1;
