--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -55,7 +55,7 @@
   static final double HEDGE_STORE = 3; // second copies saved up at most
   static final double RATE_TIME = 10_000; // 1 s: over this the rate of passed dispatches is taken
   static final double WAIT_PART = 0.3; // part of the response target that dispatches may take on average
-  static final double FREE_OUT = 4; // dispatches out of all nodes for each warm app srv, free of pressure
+  static final double FREE_OUT = 3; // dispatches out of all nodes for each warm app srv, free of pressure
   static final double PROMPT = 2; // mean dispatch times that a further try needs left of its response target
   static final long VOTES = 100; // tries: how firmly the usual wait is held
   static final double VALUE_TILT = 0.3; // how much a req's value stretches the wait allowed
