--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -256,7 +256,7 @@
     if (site.counting().open() && gap == 0) {
       // Once its window is spent and no room is known, a req only reads: adds that are sure to be given
       // back would make the customer look fuller to the other nodes than it is.
-      r.charged = r.customer.spent && r.customer.room < r.reserved ? 0 : r.reserved;
+      r.charged = r.customer.spent && r.customer.room < r.reserved + keptBack(r) ? 0 : r.reserved;
       r.counting = true;
       call(r.window, r, r.charged);
       return;
