--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -15,7 +15,7 @@
  * The decision module: every decision of an edge node. A host makes one Control an instance from what is read
  * at start ({@link Site}), calls {@link #handle} with the events of one instant, and does what comes out
  * through {@link Actions}; the interface stands in saltlatch.api. Event handlers only change what is wanted:
- * of a req (its next app srv, its end, its wake-up, dispatches given up), of the instance (count calls);
+ * of a req (its next app srv, its end, its wake-up), of the instance (count calls);
  * {@link #bring} alone works out the difference to what is and emits it. docs/design.md tells the reasons.
  */
 public final class Control implements Gateway {
@@ -28,7 +28,6 @@
   static final double REFILLED = 0.9; // part of the burst at which a spent quota counts as filled again
   static final double KEPT_BACK = 0.5; // part of a burst, or of the wait allowed, kept from further tries
   static final double DEBT = 0.6; // bursts: what passes beyond a quota draws nothing from it
-  static final double PLENTY = 0.5; // part of the burst that other nodes cannot use up before they are heard of
   static final double SHARE_STEP = 0.1; // step of the learned share of a customer's use: ten answers
   static final double SHARE_FROM = 0.25; // part of the burst that a total needs to teach the share
   static final double SHARE_LEAST = 0.5; // of an even share: traffic may come back within a window
@@ -37,7 +36,6 @@
   static final double GAP_UP = 1.5; // the gap grows by this, once a round, while answers are missing
   static final double GAP_MOST = 2_000; // 200 ms: five tests a second find its return, load nothing
   static final double GAP_FADE = 3_300; // 0.33 s: time constant of the gap while answers are prompt
-  static final double GAP_STEP = 0.3; // most of the gap that one prompt answer takes off
   static final double SLOW_ANSWER = 0.6; // part of the call limit past which an answer is not prompt
   static final double MEMORY = 40_000; // 4 s: an app srv's record fades; tens of dispatches, yet fresh
   static final double PRIOR = 3; // dispatches at fleet speed assumed of every app srv, steadies the few
@@ -50,9 +48,6 @@
   static final double CROWD_FREE = 2; // dispatches out that never make an app srv crowded
   static final double CREDIT = 2; // turns an app srv may be ahead or behind, so that none saves up a rush
   static final double COLD_USE = 0.5; // part of the cold budget used: the guide and the chance are rough
-  static final double HEDGE_AFTER = 3.5; // mean times out before a second copy: past the usual tail
-  static final double HEDGE_PART = 0.06; // second copies a dispatch: bounds the waste they can cause
-  static final double HEDGE_STORE = 3; // second copies saved up at most
   static final double RATE_TIME = 10_000; // 1 s: over this the rate of passed dispatches is taken
   static final double WAIT_PART = 0.3; // part of the response target that dispatches may take on average
   static final double FREE_OUT = 3; // dispatches out of all nodes for each warm app srv, free of pressure
@@ -70,8 +65,6 @@
     Srv srv;
     long sent;
     double pace; // time it was thought to take
-    boolean out = true;
-    boolean givenUp; // wanted: no longer out
     boolean cancelled;
     boolean stale; // past its response target on a sick app srv: no longer counted as out
   }
@@ -81,7 +74,7 @@
     Event.Arrived told;
     Kind kind;
     Customer customer;
-    boolean belated; // a client's further try that is too late for its response target, by the wait left to it
+    boolean belated; // a client's further try, by the wait left to it too late for its response target
     long end; // the final answer goes out by then
     Window window; // charged there; null where the plan has no quota
     double reserved;
@@ -90,13 +83,13 @@
     boolean admitted, streaming, over, touched;
     long ranSince = -1; // sending of the first dispatch that may have run
     Srv ranOn;
-    final List<Dispatch> sent = new ArrayList<>(2);
+    Dispatch live; // never two at once
+    int sends;
+    Srv last;
     Srv next; // wanted: a dispatch there
     End wantEnd = End.NONE; // wanted: its final answer
     long pause;
     long wake, waking = Long.MAX_VALUE; // looked at again by then: wanted, and asked for
-
-    int out() { return (int) sent.stream().filter(d -> d.out).count(); }
   }
 
   /** Lives for one app srv. */
@@ -127,12 +120,6 @@
 
   private record Call(Window window, Req req, double units) {}
 
-  /** One learned reservation. */
-  private static final class Learner {
-    double guess;
-    long steps;
-  }
-
   /** Lives until a customer is unseen for a minute, longer while its ceiling's part is not full. */
   private static final class Customer {
     long id, seen;
@@ -142,12 +129,11 @@
     double share; // learned part of its use that comes through this node
     double room; // units its quota has left, as the totals seen show it; the share of it while alone
     long roomAt;
-    long heard = Long.MIN_VALUE / 2; // last answer of the counter
     boolean alone; // decided without the counter
     boolean spent; // a window's count reached the limit and the quota has not filled again since
     double store; // this node's part of the hard ceiling
     long storeAt;
-    Learner[] learners;
+    double[][] learners; // of each frontend: reservation, steps
   }
 
   /** What the instance has learned of a frontend. */
@@ -160,12 +146,9 @@
     Kind(Site.Frontend rule) { this.rule = rule; }
 
     boolean isUsual(long left, long tick) {
+      if (votes == 0) usualLeft = left;
       boolean usual = Math.abs(left - usualLeft) <= tick;
       votes = usual ? Math.min(VOTES, votes + 1) : votes - 1;
-      if (votes < 0) {
-        votes = 1;
-        usualLeft = left;
-      }
       return usual;
     }
   }
@@ -188,10 +171,9 @@
   private int misses; // count calls in a row
   private double gap; // between count calls; 0: the counter is well
   private long nextCall, nextGap;
-  private double hedges = HEDGE_STORE;
   private double passed; // fading number of passed dispatches
   private int out;
-  private double meanValue;
+  private double meanValue; // of a unit
   private double unitsSent; // fading, over the cold rule's window
   private double warmSeen; // app srvs, cold ones counted in part
   private boolean following;
@@ -250,7 +232,7 @@
   }
 
   private void ask(Req r) {
-    r.reserved = site.counting().unitsAfter() ? learner(r).guess : r.told.units();
+    r.reserved = site.counting().unitsAfter() ? learner(r)[0] : r.told.units();
     r.window = window(r.customer);
     fill(r.customer);
     if (site.counting().open() && gap == 0) {
@@ -314,7 +296,6 @@
   /** Takes in a total: what others charged since the last one leaves the customer's room. */
   private void follow(Window w, double units, double total) {
     Customer c = w.customer;
-    c.heard = now;
     if (c.alone) {
       c.alone = false;
       c.room /= c.room > 0 ? c.share : 1;
@@ -347,7 +328,7 @@
       }
     } else if (spent < SLOW_ANSWER * site.counting().limit()) {
       misses = 0;
-      gap *= 1 - Math.min(GAP_STEP, gap / GAP_FADE);
+      gap *= 1 - gap / GAP_FADE;
       gap = gap < site.tick() ? 0 : gap;
     }
   }
@@ -382,7 +363,7 @@
       c.id = a.customer();
       c.plan = site.plans().get(a.plan());
       c.storeAt = started; // a restart fills nothing: the ceiling's part is empty at the instance's start
-      c.learners = new Learner[kinds.size()];
+      c.learners = new double[kinds.size()][];
       c.share = 1.0 / width;
       c.room = c.plan.burst();
       c.roomAt = now;
@@ -414,14 +395,10 @@
     c.spent &= c.room < REFILLED * c.plan.burst() * part;
   }
 
-  /**
-   * Without an answer a customer has this node's learned share of its quota, while any of it is left; but the
-   * whole, as long as a total heard within the last window shows plenty.
-   */
+  /** Without an answer a customer has this node's learned share of its quota, while any of it is left. */
   private boolean hasLocalRoom(Req r) {
     Customer c = r.customer;
     fill(c);
-    if (!c.alone && now - c.heard < length(c.plan) && c.room > PLENTY * c.plan.burst()) return true;
     if (!c.alone) {
       c.alone = true;
       c.room *= c.room > 0 ? c.share : 1;
@@ -430,7 +407,7 @@
   }
 
   /**
-   * Guards against client tries that come back past their response target and take room from first tries: they
+   * Guards against client tries that come back past their response target and take room from first ones: they
    * pass only while plenty is left. Harms nobody in time, unless a try's wait is told wrongly.
    */
   private double keptBack(Req r) {
@@ -446,22 +423,19 @@
     return units <= c.store;
   }
 
-  private Learner learner(Req r) {
-    Learner[] all = r.customer.learners;
+  private double[] learner(Req r) {
+    double[][] all = r.customer.learners;
     int at = r.told.frontend();
-    if (all[at] == null) {
-      all[at] = new Learner();
-      all[at].guess = Math.min(r.told.units(), r.customer.plan.burst());
-    }
+    if (all[at] == null) all[at] = new double[] {Math.min(r.told.units(), r.customer.plan.burst()), 0};
     return all[at];
   }
 
   private void settle(Req r, double actual) {
-    Learner l = learner(r);
+    double[] l = learner(r);
     double range = r.customer.plan.burst();
-    double slope = l.guess > actual ? HOLD_COST : l.guess < actual ? -OVERRUN_COST : 0;
-    double step = range / Math.max(HOLD_COST, OVERRUN_COST) / Math.sqrt(++l.steps);
-    l.guess = Math.max(0, Math.min(range, l.guess - step * slope));
+    double slope = l[0] > actual ? HOLD_COST : l[0] < actual ? -OVERRUN_COST : 0;
+    double step = range / Math.max(HOLD_COST, OVERRUN_COST) / Math.sqrt(++l[1]);
+    l[0] = Math.max(0, Math.min(range, l[0] - step * slope));
     if (r.window == null || actual == r.reserved) return;
     r.customer.room -= actual - r.reserved;
     r.window.owed += actual - r.reserved;
@@ -513,7 +487,7 @@
   private Srv choose(Req r) {
     List<Srv> able = new ArrayList<>();
     srvs.each(s -> {
-      boolean tried = r.sent.stream().anyMatch(d -> d.srv == s && (d.out || r.sent.size() < 2));
+      boolean tried = r.sends == 1 && r.last == s;
       if (s.usable && !tried && inGroup(r, s) && coldAllows(s, r.told.units())) able.add(s);
     });
     double[] weights = able.stream().mapToDouble(this::weight).toArray();
@@ -586,9 +560,9 @@
 
   private void ended(Event.Ended e) {
     Req r = reqs.find(e.rid());
-    if (r == null || e.dispatch() >= r.sent.size() || !r.sent.get(e.dispatch()).out) return;
-    Dispatch d = r.sent.get(e.dispatch());
-    d.out = false;
+    if (r == null || r.live == null || e.dispatch() != r.sends - 1) return;
+    Dispatch d = r.live;
+    r.live = null;
     r.customer.out--;
     learn(r, d, e.how());
     touch(r);
@@ -598,7 +572,7 @@
       r.ranSince = d.sent;
       r.ranOn = d.srv;
     }
-    if (!r.over && r.wantEnd == End.NONE && r.out() == 0) again(r, e.how());
+    if (!r.over && r.wantEnd == End.NONE) again(r, e.how());
   }
 
   private double pace(Req r) {
@@ -630,7 +604,7 @@
     Site.Frontend f = r.kind.rule;
     boolean harmless = r.ranSince < 0 || f.effect() == Site.Effect.REPLAYABLE
         || f.effect() == Site.Effect.UNIQUED && now + site.tick() < r.ranSince + f.remembered();
-    boolean allowed = harmless && r.sent.size() < rules.sendCap() && now < r.end && how != Outcome.NOT_SENT
+    boolean allowed = harmless && r.sends < rules.sendCap() && now < r.end && how != Outcome.NOT_SENT
         && !r.streaming;
     r.next = allowed ? choose(r) : null;
     if (r.next == null) finish(r, End.DENIED, rules.longestPause());
@@ -639,7 +613,7 @@
   /** Wants the final answer; a denial becomes an abort where it could do harm. */
   private void finish(Req r, End end, long pause) {
     Site.Frontend f = r.kind.rule;
-    boolean harmless = r.ranSince < 0 && r.out() == 0 || f.effect() == Site.Effect.REPLAYABLE
+    boolean harmless = r.ranSince < 0 && r.live == null || f.effect() == Site.Effect.REPLAYABLE
         || f.effect() == Site.Effect.UNIQUED && f.group() == Site.Group.ALL;
     r.wantEnd = end == End.DENIED && !harmless ? End.ABORTED : end;
     r.pause = rules.mayAdvise() ? Math.min(rules.longestPause(), Math.max(0, pause)) : 0;
@@ -650,8 +624,6 @@
     Req r = reqs.find(b.rid());
     if (r == null) return;
     r.streaming = true;
-    for (int i = 0; i < r.sent.size(); i++) r.sent.get(i).givenUp = i != b.dispatch();
-    touch(r);
   }
 
   private void clientLeft(Event.ClientLeft c) {
@@ -672,13 +644,7 @@
     r.waking = Long.MAX_VALUE;
     r.wake = r.end;
     touch(r);
-    if (now >= r.end) {
-      finish(r, r.sent.isEmpty() ? End.DENIED : End.ABORTED, 0);
-    } else if (r.out() == 1 && rules.secondCopies() && r.sent.size() < rules.sendCap() && hedges >= 1
-        && r.kind.rule.effect() == Site.Effect.REPLAYABLE) {
-      hedges--;
-      r.next = choose(r);
-    }
+    if (now >= r.end) finish(r, r.sends == 0 ? End.DENIED : End.ABORTED, 0);
   }
 
   // ---- pressure and housekeeping
@@ -700,12 +666,13 @@
     passed *= Math.exp(-ROUND / RATE_TIME);
     unitsSent *= Math.exp(-ROUND / Math.max(1.0, rules.fallTime()));
     weighFleet();
-    reqs.each(r -> r.sent.forEach(d -> {
+    reqs.each(r -> {
       // Guards against stuck dispatches on a few bad app srvs taking up what may be out and denying the rest.
-      if (!d.out || d.stale || now - d.sent <= r.kind.rule.target() || slowness(d.srv) < SICK) return;
+      Dispatch d = r.live;
+      if (d == null || d.stale || now - d.sent <= r.kind.rule.target() || slowness(d.srv) < SICK) return;
       d.stale = true;
       out--;
-    }));
+    });
     windows.each(w -> {
       if (w.owed != 0 && gap == 0 && now < w.turn + longest && site.counting().open()) call(w, null, 0);
       if (now > w.turn + longest && w.calls.isEmpty()) windows.release(w.name);
@@ -733,18 +700,15 @@
       r.over |= r.wantEnd != End.NONE;
       if (!r.over && r.next != null) dispatch(r);
       r.next = null;
-      for (int n = 0; n < r.sent.size(); n++) {
-        Dispatch d = r.sent.get(n);
-        if (d.out && (d.givenUp || r.over && !r.streaming) && !d.cancelled && rules.mayCancel()) {
-          d.cancelled = true;
-          to.cancel(rid, n);
-        }
+      if (r.live != null && r.over && !r.streaming && !r.live.cancelled && rules.mayCancel()) {
+        r.live.cancelled = true;
+        to.cancel(rid, r.sends - 1);
       }
       if (!r.over && !r.streaming && r.wake < r.waking) {
         r.waking = r.wake;
         to.wake(r.wake, rid);
       }
-      if (r.over && r.out() == 0 && !r.counting) reqs.release(rid);
+      if (r.over && r.live == null && !r.counting) reqs.release(rid);
     }
     touched.clear();
     for (Call c : wantCalls) {
@@ -759,7 +723,9 @@
     d.srv = r.next;
     d.sent = now;
     d.pace = pace(r);
-    r.sent.add(d);
+    r.live = d;
+    r.last = d.srv;
+    r.sends++;
     r.customer.out++;
     d.srv.out++;
     out++;
@@ -767,9 +733,6 @@
     d.srv.paceBase += now / d.pace;
     unitsSent += r.told.units();
     if (warmth(d.srv) < 1) d.srv.coldSent.add(new double[] {now, r.told.units()});
-    hedges = Math.min(HEDGE_STORE, hedges + HEDGE_PART);
-    long second = now + (long) (d.pace * HEDGE_AFTER);
-    if (rules.secondCopies() && r.sent.size() == 1) r.wake = Math.min(r.end, second);
     to.dispatch(r.told.rid(), d.srv.id, r.end - now);
   }
 }
--- a/src/main/java/saltlatch/api/Site.java
+++ b/src/main/java/saltlatch/api/Site.java
@@ -17,7 +17,7 @@
   public record Plan(double rate, double burst, int parallel, double ceilingRate, double ceilingBurst,
       double price) {}
 
-  public record Rules(boolean mustFollow, boolean mayCancel, boolean secondCopies, int sendCap,
+  public record Rules(boolean mustFollow, boolean mayCancel, int sendCap,
       boolean mayAdvise, long longestPause, boolean marksTries, long cold, double coldFrom,
       double fallMultiple, long fallTime) {}
 
--- a/src/main/java/saltlatch/simhost/Reader.java
+++ b/src/main/java/saltlatch/simhost/Reader.java
@@ -31,7 +31,7 @@
       }
     }
     Site.Rules rules = new Site.Rules(word(all, "discovery").equals("subscribe"), flag(limits, "cancelling"),
-        flag(limits, "secondCopies"), (int) number(limits, "sendCap"), flag(limits, "retryAfter"),
+        (int) number(limits, "sendCap"), flag(limits, "retryAfter"),
         time(limits, "maxRetryAfter"), flag(part(all, "clients"), "marksRetry"), time(guard, "cold"),
         number(guard, "coldFrom"), number(guard, "fallMultiple"), time(guard, "tipAfter"));
     Site.Counting counting = new Site.Counting(flag(family, "counter"), time(family, "countLimit"),
