An app srv quiet for two dispatch times loses weight at once

Answers a pause, a stall or a dead link alike; can harm an app srv that drew one very long req while little is sent.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -43,6 +43,7 @@
   static final double LEARN = 0.02; // step of the mean time a unit takes: about 50 dispatches
   static final double LEAST_UNIT = 0.1; // units: keeps the time a unit takes finite
   static final double FIRST_PACE = 0.25; // part of the response target a dispatch is first thought to take
+  static final double QUIET = 2; // mean dispatch times without any answer before an app srv may be pausing
   static final double SICK = 3; // times the fleet's time: an app srv that bad tells nothing of the others
   static final double CROWD = 2; // times its fair part of what is out that an app srv may hold
   static final double CROWD_FREE = 2; // dispatches out that never make an app srv crowded
@@ -101,7 +102,7 @@
     int out;
     double paceSum, paceBase; // sums of 1/pace and of sent/pace of what is out
     double done, busy; // fading dispatches managed, and the mean dispatch times they took
-    long fadedAt;
+    long fadedAt, heardAt; // the latter: last answer, or sending of the first dispatch out
     double credit; // its place in the rotation
     final ArrayDeque<double[]> coldSent = new ArrayDeque<>(); // time and units
   }
@@ -463,7 +464,8 @@
   }
 
   private double weight(Srv s) {
-    double slowness = slowness(s);
+    double quiet = s.out == 0 ? 0 : (now - s.heardAt) * s.paceSum / s.out / QUIET;
+    double slowness = slowness(s) * Math.max(1, quiet);
     return Math.max(LEAST_UNIT, s.rating) * warmth(s) / (slowness * slowness);
   }
 
@@ -583,6 +585,7 @@
   private void learn(Req r, Dispatch d, Outcome how) {
     Srv s = d.srv;
     s.out--;
+    s.heardAt = now;
     out -= d.stale ? 0 : 1;
     s.paceSum = s.out == 0 ? 0 : s.paceSum - 1 / d.pace;
     s.paceBase = s.out == 0 ? 0 : s.paceBase - d.sent / d.pace;
@@ -727,7 +730,7 @@
     r.last = d.srv;
     r.sends++;
     r.customer.out++;
-    d.srv.out++;
+    if (d.srv.out++ == 0) d.srv.heardAt = now;
     out++;
     d.srv.paceSum += 1 / d.pace;
     d.srv.paceBase += now / d.pace;
