--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -274,7 +274,7 @@
       follow(w, call.units(), c.total());
       if (r == null) return;
       boolean below = w.top - r.charged < w.customer.plan.burst();
-      w.customer.spent |= !below || w.customer.room < r.reserved;
+      w.customer.spent |= !below || w.customer.room <= 0;
       // Guards against windows that differ from the quota's store: a heavy customer would spend each window
       // at its start, stand denied with room, and find a whole burst again at the turn.
       decide(r, w.customer.spent ? w.customer.room >= r.reserved + keptBack(r) : below);
