--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -15,7 +15,7 @@
  * The decision module: every decision of an edge node. A host makes one Control an instance from what is read
  * at start ({@link Site}), calls {@link #handle} with the events of one instant, and does what comes out
  * through {@link Actions}; the interface stands in saltlatch.api. Event handlers only change what is wanted:
- * of a req (its next app srv, its end, its wake-up), of the instance (count calls);
+ * of a req (its next app srv, its end, its timer), of the instance (count calls);
  * {@link #bring} alone works out the difference to what is and emits it. docs/design.md tells the reasons.
  */
 public final class Control implements Gateway {
@@ -26,17 +26,17 @@
   static final long LONGEST_KEPT = 600_000; // 60 s: the longest time a counter keeps a name
   static final long ROUND = 1_000; // 100 ms between housekeepings: fine beside troubles of seconds
   static final double REFILLED = 0.9; // part of the burst at which a spent quota counts as filled again
-  static final double KEPT_BACK = 0.5; // part of a burst, or of the wait allowed, kept from further tries
+  static final double KEPT_BACK = 0.35; // part of a burst, or of the wait allowed, kept from further tries
   static final double DEBT = 0.6; // bursts: what passes beyond a quota draws nothing from it
   static final double SHARE_STEP = 0.1; // step of the learned share of a customer's use: ten answers
   static final double SHARE_FROM = 0.25; // part of the burst that a total needs to teach the share
   static final double SHARE_LEAST = 0.5; // of an even share: traffic may come back within a window
+  static final double NOUGHT = 0.01; // units: totals come to seven digits
   static final int MISSES = 2; // count calls in a row without answer before the counter is taken as bad
   static final double GAP_FIRST = 100; // 10 ms between calls to a bad counter at first
   static final double GAP_UP = 1.5; // the gap grows by this, once a round, while answers are missing
   static final double GAP_MOST = 2_000; // 200 ms: five tests a second find its return, load nothing
-  static final double GAP_FADE = 3_300; // 0.33 s: time constant of the gap while answers are prompt
-  static final double SLOW_ANSWER = 0.6; // part of the call limit past which an answer is not prompt
+  static final double GAP_FADE = 3_300; // 0.33 s: time constant of the gap while answers come
   static final double MEMORY = 40_000; // 4 s: an app srv's record fades; tens of dispatches, yet fresh
   static final double PRIOR = 3; // dispatches at fleet speed assumed of every app srv, steadies the few
   static final double FAULT = 8; // mean dispatch times that a failed dispatch counts as lost time
@@ -76,12 +76,12 @@
     Kind kind;
     Customer customer;
     boolean belated; // a client's further try, by the wait left to it too late for its response target
-    long end; // the final answer goes out by then
+    long end; // wanted: the final answer by then
     Window window; // charged there; null where the plan has no quota
     double reserved;
     double charged; // of it, what its count call added
     boolean counting; // its count call is out
-    boolean admitted, streaming, over, touched;
+    boolean admitted, streaming, over, touched, timed;
     long ranSince = -1; // sending of the first dispatch that may have run
     Srv ranOn;
     Dispatch live; // never two at once
@@ -90,7 +90,6 @@
     Srv next; // wanted: a dispatch there
     End wantEnd = End.NONE; // wanted: its final answer
     long pause;
-    long wake, waking = Long.MAX_VALUE; // looked at again by then: wanted, and asked for
   }
 
   /** Lives for one app srv. */
@@ -221,7 +220,6 @@
     r.kind = kinds.get(a.frontend());
     r.customer = customer(a);
     r.end = now + a.left() - TICKS_SPARE * site.tick();
-    r.wake = r.end;
     boolean usual = r.kind.isUsual(a.left(), site.tick());
     long waited = usual ? longest : r.kind.rule.clientTimeout() - a.left();
     boolean further = rules.marksTries() ? a.repeat() : !usual;
@@ -269,7 +267,7 @@
     Call call = w.calls.poll();
     Req r = call.req();
     boolean answered = c.how() == Outcome.PASSED;
-    judgeCounter(answered, c.spent());
+    judgeCounter(answered);
     if (answered) {
       follow(w, call.units(), c.total());
       if (r == null) return;
@@ -303,7 +301,7 @@
     }
     fill(c);
     w.mine += units;
-    if (total + 0.01 < w.mine) {
+    if (total + NOUGHT < w.mine) {
       // Guards against lost counts (a flush, a counter back empty): the total is below what this node alone
       // was answered for, so the known floor stands in for the rest of this window.
       w.lost = Math.max(w.top + units, w.mine) - total;
@@ -320,17 +318,14 @@
     }
   }
 
-  private void judgeCounter(boolean answered, long spent) {
-    if (!answered) {
-      misses++;
-      if ((misses >= MISSES || gap > 0) && now >= nextGap) {
-        nextGap = now + ROUND;
-        gap = Math.min(GAP_MOST, Math.max(GAP_FIRST, gap * GAP_UP));
-      }
-    } else if (spent < SLOW_ANSWER * site.counting().limit()) {
-      misses = 0;
+  private void judgeCounter(boolean answered) {
+    misses = answered ? 0 : misses + 1;
+    if (answered) {
       gap *= 1 - gap / GAP_FADE;
       gap = gap < site.tick() ? 0 : gap;
+    } else if ((misses >= MISSES || gap > 0) && now >= nextGap) {
+      nextGap = now + ROUND;
+      gap = Math.min(GAP_MOST, Math.max(GAP_FIRST, gap * GAP_UP));
     }
   }
 
@@ -607,9 +602,8 @@
     Site.Frontend f = r.kind.rule;
     boolean harmless = r.ranSince < 0 || f.effect() == Site.Effect.REPLAYABLE
         || f.effect() == Site.Effect.UNIQUED && now + site.tick() < r.ranSince + f.remembered();
-    boolean allowed = harmless && r.sends < rules.sendCap() && now < r.end && how != Outcome.NOT_SENT
-        && !r.streaming;
-    r.next = allowed ? choose(r) : null;
+    harmless &= !r.streaming && now < r.end && how != Outcome.NOT_SENT;
+    r.next = harmless && r.sends < rules.sendCap() ? choose(r) : null;
     if (r.next == null) finish(r, End.DENIED, rules.longestPause());
   }
 
@@ -644,10 +638,7 @@
     }
     Req r = reqs.find(d.handle());
     if (r == null || r.over || r.streaming) return;
-    r.waking = Long.MAX_VALUE;
-    r.wake = r.end;
-    touch(r);
-    if (now >= r.end) finish(r, r.sends == 0 ? End.DENIED : End.ABORTED, 0);
+    finish(r, r.sends == 0 ? End.DENIED : End.ABORTED, 0);
   }
 
   // ---- pressure and housekeeping
@@ -661,8 +652,8 @@
     double value = r.customer.plan.price() * r.kind.rule.value();
     meanValue += (meanValue == 0 ? 1 : VALUE_STEP) * (value - meanValue);
     double tilt = meanValue <= 0 ? 0 : Math.max(-1, Math.min(1, (value - meanValue) / meanValue));
-    double wait = WAIT_PART * (r.belated ? KEPT_BACK : 1) * (1 + VALUE_TILT * tilt) * r.kind.rule.target();
-    return out >= Math.max(FREE_OUT * warmSeen / Math.max(1, site.nodes()), wait * passed / RATE_TIME);
+    double part = WAIT_PART * (r.belated ? 1 - KEPT_BACK : 1) * (1 + VALUE_TILT * tilt);
+    return out >= Math.max(FREE_OUT * warmSeen / Math.max(1, site.nodes()), part * r.kind.rule.target() * passed / RATE_TIME);
   }
 
   private void round() {
@@ -707,10 +698,8 @@
         r.live.cancelled = true;
         to.cancel(rid, r.sends - 1);
       }
-      if (!r.over && !r.streaming && r.wake < r.waking) {
-        r.waking = r.wake;
-        to.wake(r.wake, rid);
-      }
+      if (!r.over && !r.timed) to.wake(r.end, rid);
+      r.timed = true;
       if (r.over && r.live == null && !r.counting) reqs.release(rid);
     }
     touched.clear();
--- a/src/main/java/saltlatch/api/Site.java
+++ b/src/main/java/saltlatch/api/Site.java
@@ -21,5 +21,5 @@
       boolean mayAdvise, long longestPause, boolean marksTries, long cold, double coldFrom,
       double fallMultiple, long fallTime) {}
 
-  public record Counting(boolean open, long limit, boolean unitsAfter) {}
+  public record Counting(boolean open, boolean unitsAfter) {}
 }
--- a/src/main/java/saltlatch/simhost/Reader.java
+++ b/src/main/java/saltlatch/simhost/Reader.java
@@ -34,8 +34,7 @@
         (int) number(limits, "sendCap"), flag(limits, "retryAfter"),
         time(limits, "maxRetryAfter"), flag(part(all, "clients"), "marksRetry"), time(guard, "cold"),
         number(guard, "coldFrom"), number(guard, "fallMultiple"), time(guard, "tipAfter"));
-    Site.Counting counting = new Site.Counting(flag(family, "counter"), time(family, "countLimit"),
-        flag(family, "costAfter"));
+    Site.Counting counting = new Site.Counting(flag(family, "counter"), flag(family, "costAfter"));
     return new Site(seed, (int) number(all, "peersTotal"), time(all, "quantum"), rules, counting,
         frontends, plans);
   }
