--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -653,7 +653,8 @@
     meanValue += (meanValue == 0 ? 1 : VALUE_STEP) * (value - meanValue);
     double tilt = meanValue <= 0 ? 0 : Math.max(-1, Math.min(1, (value - meanValue) / meanValue));
     double part = WAIT_PART * (r.belated ? 1 - KEPT_BACK : 1) * (1 + VALUE_TILT * tilt);
-    return out >= Math.max(FREE_OUT * warmSeen / Math.max(1, site.nodes()), part * r.kind.rule.target() * passed / RATE_TIME);
+    double free = FREE_OUT * warmSeen / Math.max(1, site.nodes());
+    return out >= Math.max(free, part * r.kind.rule.target() * passed / RATE_TIME);
   }
 
   private void round() {
