A share is never learned below an even one

Cause: while the counter is silent a customer's traffic moves between nodes, and a share learned small denies it there. Kept, one constant less.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -30,7 +30,6 @@
   static final double DEBT = 0.6; // bursts: what passes beyond a quota draws nothing from it
   static final double SHARE_STEP = 0.1; // step of the learned share of a customer's use: ten answers
   static final double SHARE_FROM = 0.25; // part of the burst that a total needs to teach the share
-  static final double SHARE_LEAST = 0.5; // of an even share: traffic may come back within a window
   static final double NOUGHT = 0.01; // units: totals come to seven digits
   static final int MISSES = 2; // count calls in a row without answer before the counter is taken as bad
   static final double GAP_FIRST = 100; // 10 ms between calls to a bad counter at first
@@ -126,7 +125,7 @@
     Site.Plan plan;
     Window window;
     int out, width;
-    double share; // learned part of its use that comes through this node
+    double share; // learned part of its use that comes through this node, an even one at least
     double room; // units its quota has left, as the totals seen show it; the share of it while alone
     long roomAt;
     boolean alone; // decided without the counter
@@ -313,7 +312,7 @@
     c.room = Math.max(-DEBT * c.plan.burst(), c.room - others + known);
     w.top = total + w.lost;
     if (w.top > SHARE_FROM * c.plan.burst()) {
-      double part = Math.min(1, Math.max(SHARE_LEAST / c.width, w.mine / w.top));
+      double part = Math.min(1, Math.max(1.0 / c.width, w.mine / w.top));
       c.share += SHARE_STEP * (part - c.share);
     }
   }
@@ -335,8 +334,7 @@
     touch(r);
     Customer c = r.customer;
     int parallel = c.plan.parallel();
-    double part = Math.max(c.share, 1.0 / c.width);
-    boolean open = parallel <= 0 || c.out < Math.max(1, Math.ceil(parallel * part));
+    boolean open = parallel <= 0 || c.out < Math.max(1, Math.ceil(parallel * c.share));
     if (!room) {
       double spread = SPREAD_BACK * length(c.plan) * chance.nextDouble();
       finish(r, End.DENIED, r.window.turn - now + (long) spread);
