--- a/src/test/java/saltlatch/Trace.java
+++ b/src/test/java/saltlatch/Trace.java
@@ -10,6 +10,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import saltlatch.api.Actions;
 import saltlatch.api.Event;
 import saltlatch.api.Event.Condition;
@@ -115,7 +116,7 @@
   }
 
   void say(String line) {
-    if (!muted) text.append(String.format("%7.1f %s%n", (now - 60_000) / 10.0, line));
+    if (!muted) text.append(String.format(Locale.ROOT, "%7.1f %s%n", (now - 60_000) / 10.0, line));
   }
 
   /** Compares with the kept trace; -Dsaltlatch.record=true writes it anew, to be read before it is kept. */
@@ -171,7 +172,7 @@
   @Override
   public void count(long name, double units, long keep) {
     names.add(name);
-    say(String.format("  -> count window %d: %+.2f, kept %.0f", name & 0x7fffffffL, units, keep / 10.0));
+    say(String.format(Locale.ROOT, "  -> count window %d: %+.2f, kept %.0f", name & 0x7fffffffL, units, keep / 10.0));
   }
 
   @Override
