One counter check, one store fill, every emission in one place; dead code out

Read over as a whole; same actions. The check for a counter that is well stood three times and the filling of a store twice; discovery and housekeeping were emitted outside the one function that emits; whether discovery was asked is now told by when it is asked next. Stuck dispatches are looked at by age first, so that records are faded for fewer. In the adapter a stream wrapper, an exception never thrown and a call without effect go.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -24,9 +24,10 @@
   static final double OVERRUN_COST = 3; // loss a unit reserved too little; the design's start value
   static final long AGEING = 600_000; // a minute unseen drops a learner, as the design says
   static final long LONGEST_KEPT = 600_000; // 60 s: the longest time a counter keeps a name
+  static final double SECOND = 10_000; // rates are in units a second
   static final long ROUND = 1_000; // 100 ms between housekeepings: fine beside troubles of seconds
   static final double REFILLED = 0.9; // part of the burst at which a spent quota counts as filled again
-  static final double KEPT_BACK = 0.35; // part of a burst, or of the wait allowed, kept from further tries
+  static final double KEPT_BACK = 0.35; // part of a burst, or of the wait allowed, kept from belated tries
   static final double DEBT = 0.6; // bursts: what passes beyond a quota draws nothing from it
   static final double SHARE_STEP = 0.1; // step of the learned share of a customer's use: ten answers
   static final double SHARE_FROM = 0.25; // part of the burst that a total needs to teach the share
@@ -40,7 +41,7 @@
   static final double PRIOR = 3; // dispatches at fleet speed assumed of every app srv, steadies the few
   static final double FAULT = 8; // mean dispatch times that a failed dispatch counts as lost time
   static final double LEARN = 0.02; // step of the mean time a unit takes: about 50 dispatches
-  static final double LEAST_UNIT = 0.1; // units: keeps the time a unit takes finite
+  static final double LEAST_UNIT = 0.1; // least units of a req and rating of an app srv: none is nothing
   static final double FIRST_PACE = 0.25; // part of the response target a dispatch is first thought to take
   static final double QUIET = 2; // mean dispatch times without any answer before an app srv may be pausing
   static final double SICK = 3; // times the fleet's time: an app srv that bad tells nothing of the others
@@ -169,7 +170,7 @@
   private final long started;
   private long longest; // client timeout
   private long now;
-  private int misses; // count calls in a row
+  private int misses; // count calls in a row without an answer
   private double gap; // between count calls; 0: the counter is well
   private long nextCall, nextGap;
   private double passed; // fading number of passed dispatches
@@ -177,8 +178,8 @@
   private double meanValue; // of a unit
   private double unitsSent; // fading, over the cold rule's window
   private double warmSeen; // app srvs, cold ones counted in part
-  private boolean following;
-  private long followAt;
+  private long followAt; // discovery is asked then; asked already: never
+  private long roundAt, roundSet; // next housekeeping: wanted, and asked for
 
   public Control(long now, Site site, Actions to) {
     this.now = now;
@@ -191,7 +192,7 @@
       kinds.add(new Kind(f));
       longest = Math.max(longest, f.clientTimeout());
     }
-    to.wake(now + ROUND, -1);
+    roundAt = now + ROUND;
   }
 
   @Override
@@ -206,10 +207,6 @@
       else if (e instanceof Event.Begun b) begun(b);
       else if (e instanceof Event.ClientLeft c) clientLeft(c);
     }
-    if (rules.mustFollow() && !following && now >= followAt) {
-      following = true;
-      to.follow(true);
-    }
     bring();
   }
 
@@ -235,7 +232,7 @@
     r.reserved = site.counting().unitsAfter() ? learner(r)[0] : r.told.units();
     r.window = window(r.customer);
     fill(r.customer);
-    if (site.counting().open() && gap == 0) {
+    if (counterIsWell()) {
       // Once its window is spent and no room is known, a req only reads: adds that are sure to be given
       // back would make the customer look fuller to the other nodes than it is.
       r.charged = r.customer.spent && r.customer.room < r.reserved + keptBack(r) ? 0 : r.reserved;
@@ -283,13 +280,12 @@
     // A timed-out add may have counted: it is taken as counted, and not as another node's when it shows in a
     // total. What was turned away is owed again.
     if (c.how() == Outcome.LATE) w.unsure += call.units();
-    double rest = answered || c.how() == Outcome.LATE ? 0 : call.units();
+    else if (!answered) w.owed += call.units();
     if (r != null) {
       r.counting = false;
-      rest += (r.admitted ? r.reserved : 0) - r.charged;
+      w.owed += (r.admitted ? r.reserved : 0) - r.charged;
       touch(r);
     }
-    w.owed += rest;
     if (answered && w.owed != 0) call(w, null, 0);
   }
 
@@ -319,6 +315,8 @@
     }
   }
 
+  private boolean counterIsWell() { return site.counting().open() && gap == 0; }
+
   private void judgeCounter(boolean answered) {
     misses = answered ? 0 : misses + 1;
     if (answered) {
@@ -335,8 +333,8 @@
     if (r.over || r.wantEnd != End.NONE) return;
     touch(r);
     Customer c = r.customer;
-    int parallel = c.plan.parallel();
-    boolean open = parallel <= 0 || c.out < Math.max(1, Math.ceil(parallel * c.share));
+    int cap = c.plan.parallel();
+    boolean open = cap <= 0 || c.out < Math.max(1, Math.ceil(cap * c.share));
     if (!room) {
       double spread = SPREAD_BACK * length(c.plan) * chance.nextDouble();
       finish(r, End.DENIED, r.window.turn - now + (long) spread);
@@ -369,7 +367,7 @@
     return c;
   }
 
-  private static long length(Site.Plan p) { return Math.max(1, (long) (p.burst() / p.rate() * 10_000)); }
+  private static long length(Site.Plan p) { return Math.max(1, (long) (p.burst() / p.rate() * SECOND)); }
 
   private Window window(Customer c) {
     long length = length(c.plan);
@@ -384,9 +382,14 @@
     return c.window;
   }
 
+  /** A store's units now, from what it held at a time, its rate and the most it holds. */
+  private double filled(double held, long at, double rate, double most) {
+    return Math.min(most, held + (now - at) * rate / SECOND);
+  }
+
   private void fill(Customer c) {
     double part = c.alone ? c.share : 1;
-    c.room = Math.min(c.plan.burst() * part, c.room + (now - c.roomAt) * c.plan.rate() / 10_000 * part);
+    c.room = filled(c.room, c.roomAt, c.plan.rate() * part, c.plan.burst() * part);
     c.roomAt = now;
     c.spent &= c.room < REFILLED * c.plan.burst() * part;
   }
@@ -413,8 +416,7 @@
   /** This node's part of the hard ceiling, from local knowledge: rate and amount over its nodes. */
   private boolean ceilingAllows(Customer c, double units) {
     if (c.plan.ceilingRate() <= 0) return true;
-    double filled = (now - c.storeAt) * c.plan.ceilingRate() / 10_000 / c.width;
-    c.store = Math.min(c.plan.ceilingBurst() / c.width, c.store + filled);
+    c.store = filled(c.store, c.storeAt, c.plan.ceilingRate() / c.width, c.plan.ceilingBurst() / c.width);
     c.storeAt = now;
     return units <= c.store;
   }
@@ -435,7 +437,7 @@
     if (r.window == null || actual == r.reserved) return;
     r.customer.room -= actual - r.reserved;
     r.window.owed += actual - r.reserved;
-    if (site.counting().open() && gap == 0) call(r.window, null, 0);
+    if (counterIsWell()) call(r.window, null, 0);
   }
 
   // ---- app srvs
@@ -449,8 +451,8 @@
 
   /**
    * What it has been seen to manage: dispatches for the time they took, what is out counting as unfinished
-   * and a failed one as time lost. One judgement for slow, pausing, failing and dead app srvs alike; squared,
-   * since a slow one is slower still by its queue. Harms an app srv that drew a few very costly reqs.
+   * and a failed one as time lost. One judgement for slow, pausing, failing and dead app srvs alike. Harms
+   * one that drew a few very costly reqs.
    */
   private double slowness(Srv s) {
     fade(s);
@@ -461,6 +463,7 @@
   /** Mean dispatch times since it last answered anything, while something is out there. */
   private double quiet(Srv s) { return s.out == 0 ? 0 : (now - s.heardAt) * s.paceSum / s.out; }
 
+  /** Squared, since a slow app srv is slower still by its queue. */
   private double weight(Srv s) {
     double slowness = slowness(s) * Math.max(1, quiet(s) / QUIET);
     return Math.max(LEAST_UNIT, s.rating) * warmth(s) / (slowness * slowness);
@@ -519,7 +522,6 @@
 
   private void listed(Event.Listed l) {
     if (l.kind() == Event.ListKind.FAILED) {
-      following = false;
       followAt = now + ROUND + (long) (ROUND * chance.nextDouble());
       return;
     }
@@ -621,8 +623,7 @@
 
   private void begun(Event.Begun b) {
     Req r = reqs.find(b.rid());
-    if (r == null) return;
-    r.streaming = true;
+    if (r != null) r.streaming = true;
   }
 
   private void clientLeft(Event.ClientLeft c) {
@@ -633,14 +634,9 @@
   }
 
   private void due(Event.Due d) {
-    if (d.handle() < 0) {
-      round();
-      to.wake(now + ROUND, -1);
-      return;
-    }
     Req r = reqs.find(d.handle());
-    if (r == null || r.over || r.streaming) return;
-    finish(r, r.sends == 0 ? End.DENIED : End.ABORTED, 0);
+    if (d.handle() < 0) round();
+    else if (r != null && !r.over && !r.streaming) finish(r, r.sends == 0 ? End.DENIED : End.ABORTED, 0);
   }
 
   // ---- pressure and housekeeping
@@ -661,6 +657,7 @@
   }
 
   private void round() {
+    roundAt = now + ROUND;
     passed *= Math.exp(-ROUND / RATE_TIME);
     unitsSent *= Math.exp(-ROUND / Math.max(1.0, rules.fallTime()));
     weighFleet();
@@ -668,13 +665,13 @@
       // Guards against dispatches stuck on bad app srvs, or whose answers got lost on the way, taking up what
       // may be out and denying the rest. Harms where one long req makes an app srv look silent.
       Dispatch d = r.live;
-      if (d == null || d.stale || r.streaming || slowness(d.srv) < SICK && quiet(d.srv) < DEAD) return;
-      if (now - d.sent <= STUCK * r.kind.rule.target()) return;
+      if (d == null || d.stale || r.streaming || now - d.sent <= STUCK * r.kind.rule.target()) return;
+      if (slowness(d.srv) < SICK && quiet(d.srv) < DEAD) return;
       d.stale = true;
       out--;
     });
     windows.each(w -> {
-      if (w.owed != 0 && gap == 0 && now < w.turn + longest && site.counting().open()) call(w, null, 0);
+      if (w.owed != 0 && now < w.turn + longest && counterIsWell()) call(w, null, 0);
       if (now > w.turn + longest && w.calls.isEmpty()) windows.release(w.name);
     });
     customers.each(c -> {
@@ -692,6 +689,12 @@
 
   /** Emits the difference between what is wanted and what is. */
   private void bring() {
+    if (rules.mustFollow() && now >= followAt) {
+      followAt = Long.MAX_VALUE;
+      to.follow(true);
+    }
+    if (roundSet != roundAt) to.wake(roundAt, -1);
+    roundSet = roundAt;
     for (Req r : touched) {
       long rid = r.told.rid();
       r.touched = false;
--- a/src/main/java/saltlatch/simhost/Reader.java
+++ b/src/main/java/saltlatch/simhost/Reader.java
@@ -40,25 +40,19 @@
   }
 
   private static Site.Effect effect(String word) {
-    switch (word) {
-      case "idempotent":
-        return Site.Effect.REPLAYABLE;
-      case "deduplicated":
-        return Site.Effect.UNIQUED;
-      default:
-        return Site.Effect.NON_REPLAYABLE;
-    }
+    return switch (word) {
+      case "idempotent" -> Site.Effect.REPLAYABLE;
+      case "deduplicated" -> Site.Effect.UNIQUED;
+      default -> Site.Effect.NON_REPLAYABLE;
+    };
   }
 
   private static Site.Group group(String word) {
-    switch (word) {
-      case "all":
-        return Site.Group.ALL;
-      case "zone":
-        return Site.Group.ZONE;
-      default:
-        return Site.Group.CELL;
-    }
+    return switch (word) {
+      case "all" -> Site.Group.ALL;
+      case "zone" -> Site.Group.ZONE;
+      default -> Site.Group.CELL;
+    };
   }
 
   private static JsonObject part(JsonObject from, String key) {
--- a/src/main/java/saltlatch/simhost/Reply.java
+++ b/src/main/java/saltlatch/simhost/Reply.java
@@ -24,7 +24,6 @@
   }
 
   void clear() {
-    records.clear();
     tail.reset();
     count = 0;
   }
--- a/src/main/java/saltlatch/simhost/SimHost.java
+++ b/src/main/java/saltlatch/simhost/SimHost.java
@@ -2,8 +2,6 @@
 
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
-import java.io.DataInputStream;
-import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -46,7 +44,7 @@
 
   /** Runs until input ends; the exit code is 0 then, and 2 for a malformed frame. */
   public int run(InputStream rawIn, OutputStream rawOut, PrintStream err) throws IOException {
-    DataInputStream in = new DataInputStream(new BufferedInputStream(rawIn, 1 << 16));
+    InputStream in = new BufferedInputStream(rawIn, 1 << 16);
     OutputStream out = new BufferedOutputStream(rawOut, 1 << 16);
     while (true) {
       int first = in.read();
@@ -67,7 +65,7 @@
           throw new Malformed("input ends inside a frame of " + size + " bytes");
         }
         answer(ByteBuffer.wrap(body).order(ByteOrder.LITTLE_ENDIAN), out);
-      } catch (Malformed | EOFException e) {
+      } catch (Malformed e) {
         err.println("saltlatch simhost: malformed frame: " + e.getMessage());
         return 2;
       }
