A req charged but never sent gives its charge back; bad start settings are a malformed frame

A list change in the same batch as the admission could leave no app srv: the req was denied and its reservation kept. Start settings without frontends ended the adapter with a stack trace in place of the plain message. Each has a case in the tests.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -616,6 +616,7 @@
     Site.Frontend f = r.kind.rule;
     boolean harmless = r.ranSince < 0 && r.live == null || f.effect() == Site.Effect.REPLAYABLE
         || f.effect() == Site.Effect.UNIQUED && f.group() == Site.Group.ALL;
+    if (r.admitted && r.sends == 0 && r.window != null) r.window.owed -= r.reserved; // charged, never sent
     r.wantEnd = end == End.DENIED && !harmless ? End.ABORTED : end;
     r.pause = rules.mayAdvise() ? Math.min(rules.longestPause(), Math.max(0, pause)) : 0;
     touch(r);
--- a/src/main/java/saltlatch/simhost/SimHost.java
+++ b/src/main/java/saltlatch/simhost/SimHost.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import saltlatch.api.Event;
 import saltlatch.api.Gateway;
+import saltlatch.api.Site;
 
 /** Hosts module instances on the simulator's wire: frames in, frames out. It decides nothing. */
 public final class SimHost {
@@ -103,11 +104,13 @@
   }
 
   private void attach(long now, int inst, long seed, String text) throws Malformed {
+    Site site;
     try {
-      gateways.put(inst, maker.start(now, Reader.site(text, seed), reply.of(inst)));
-    } catch (com.google.gson.JsonParseException | IllegalStateException e) {
-      throw new Malformed("settings: " + e.getMessage());
+      site = Reader.site(text, seed);
+    } catch (RuntimeException e) {
+      throw new Malformed("settings: " + e);
     }
+    gateways.put(inst, maker.start(now, site, reply.of(inst)));
   }
 
   private void deliver(long now, int inst, List<Event> events) {
--- a/src/test/java/saltlatch/ControlTest.java
+++ b/src/test/java/saltlatch/ControlTest.java
@@ -169,6 +169,10 @@
     t.list("12/1");
     t.arrive(3, REPLAYABLE, 1);
     t.counted(2);
+    t.say("total 4.0 and an empty list at once: what was charged is given back");
+    t.arrive(4, REPLAYABLE, 1);
+    t.tell(t.answer(4), new Event.Listed(Event.ListKind.WHOLE, List.of()));
+    t.pass(1_000);
     t.matches("drains");
   }
 
--- a/src/test/java/saltlatch/SimHostTest.java
+++ b/src/test/java/saltlatch/SimHostTest.java
@@ -130,8 +130,9 @@
     assertEquals(2, run(frame(1, new byte[0], hex("ff01 0300")), Control::new));
     assertEquals(2, run(frame(1, new byte[0], attach(9)), Control::new));
     assertEquals(2, run(frame(1, "{x}".getBytes(StandardCharsets.UTF_8), attach(3)), Control::new));
+    assertEquals(2, run(frame(1, "{}".getBytes(StandardCharsets.UTF_8), attach(2)), Control::new));
     assertEquals(0, out.size());
-    assertEquals(4, err.toString().lines().filter(l -> l.startsWith("saltlatch simhost: malformed")).count());
+    assertEquals(5, err.toString().lines().filter(l -> l.startsWith("saltlatch simhost: malformed")).count());
   }
 
   /** Stopped and attached again in one batch: what was told before the stop is forgotten. */
--- a/src/test/java/saltlatch/Trace.java
+++ b/src/test/java/saltlatch/Trace.java
@@ -76,7 +76,11 @@
 
   void counted(double total) {
     say("total " + total);
-    if (!names.isEmpty()) tell(new Event.Counted(names.poll(), Outcome.PASSED, total, 10));
+    if (!names.isEmpty()) tell(answer(total));
+  }
+
+  Event answer(double total) {
+    return new Event.Counted(names.poll(), Outcome.PASSED, total, 10);
   }
 
   void counted(Outcome how) {
@@ -93,8 +97,8 @@
     tell(new Event.Ended(rid, 0, dispatch, how, how == Outcome.PASSED, 0, actual, 0, List.of()));
   }
 
-  void tell(Event e) {
-    control.handle(now, List.of(e));
+  void tell(Event... events) {
+    control.handle(now, List.of(events));
   }
 
   /** Lets time pass, delivering wake-ups as they fall due. */
