The rotation starts at a random place on each node

Cause: every node walked the same list from the same start, so at 50 to 200 nodes with a few reqs each the first app srvs of the list got most dispatches (busiest/mean 4, nodes' own view even). Covers any many-node start; harms nobody, the order of turns had no meaning.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -532,6 +532,7 @@
         s = srvs.put(e.srv(), new Srv());
         s.id = e.srv();
         s.fadedAt = now;
+        s.credit = chance.nextDouble(); // many nodes with few reqs each must not begin with the same app srvs
       } else if (e.since() != s.since) {
         s.done = s.busy = 0;
         s.coldSent.clear();
--- a/src/test/java/saltlatch/ControlTest.java
+++ b/src/test/java/saltlatch/ControlTest.java
@@ -38,6 +38,18 @@
     t.matches("ordinary-path");
   }
 
+  /** Many nodes with few reqs each: their rotations begin at different app srvs. */
+  @Test
+  void rotationsStartApart() {
+    Trace other = new Trace(Trace.site(9, Trace.FIRM, false, false));
+    for (Trace node : List.of(t, other)) {
+      node.list("11/1", "12/1", "13/1", "14/1", "15/1");
+      node.arrive(1, REPLAYABLE, 1);
+      node.counted(1);
+    }
+    assertEquals(List.of(1, 0), List.of(t.count("to 13"), other.count("to 13")));
+  }
+
   /** Units told afterwards: the reservation starts from the guess, is settled on its window and learns. */
   @Test
   void settling() throws IOException {
