Jammed counter: the call of each gap decides its req; headroom under pressure while quick

Changes: a call goes out each gap for the next req that may pass and decides it; known-full customers are denied without one; gaps grow with the nodes; refunds wait in a jam. Four more dispatches may be out, shrinking as recent dispatch times near the wait allowed. Harms where app srvs turn slow at once for all: ten answers pass before the headroom is gone.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -36,6 +36,7 @@
   static final double GAP_FIRST = 100; // 10 ms between calls to a bad counter at first
   static final double GAP_UP = 1.5; // the gap grows by this, once a round, while answers are missing
   static final double GAP_MOST = 2_000; // 200 ms: five tests a second find its return, load nothing
+  static final double GAP_NODES = 20; // nodes that may use these gaps together: 2,000 calls a second at first
   static final double GAP_FADE = 3_300; // 0.33 s: time constant of the gap while answers come
   static final double MEMORY = 40_000; // 4 s: an app srv's record fades; tens of dispatches, yet fresh
   static final double PRIOR = 3; // dispatches at fleet speed assumed of every app srv, steadies the few
@@ -54,6 +55,8 @@
   static final double RATE_TIME = 10_000; // 1 s: over this the rate of passed dispatches is taken
   static final double WAIT_PART = 0.3; // part of the response target that dispatches may take on average
   static final double FREE_OUT = 3; // dispatches out of all nodes for each warm app srv, free of pressure
+  static final double CHANCE_OUT = 4; // more dispatches out of a node while quick: so many meet by chance
+  static final double RECENT = 0.1; // step of the recent time of a dispatch: about ten
   static final double PROMPT = 2; // mean dispatch times that a further try needs left of its response target
   static final long VOTES = 100; // tries: how firmly the usual wait is held
   static final double VALUE_TILT = 0.3; // how much a req's value stretches the wait allowed
@@ -175,6 +178,7 @@
   private long nextCall, nextGap;
   private double passed; // fading number of passed dispatches
   private int out;
+  private double recentTime; // of a dispatch
   private double meanValue; // of a unit
   private double unitsSent; // fading, over the cold rule's window
   private double warmSeen; // app srvs, cold ones counted in part
@@ -204,7 +208,7 @@
       else if (e instanceof Event.Counted c) counted(c);
       else if (e instanceof Event.Due d) due(d);
       else if (e instanceof Event.Listed l) listed(l);
-      else if (e instanceof Event.Begun b) begun(b);
+      else if (e instanceof Event.Begun b && reqs.find(b.rid()) != null) reqs.find(b.rid()).streaming = true;
       else if (e instanceof Event.ClientLeft c) clientLeft(c);
     }
     bring();
@@ -232,23 +236,21 @@
     r.reserved = site.counting().unitsAfter() ? learner(r)[0] : r.told.units();
     r.window = window(r.customer);
     fill(r.customer);
-    if (counterIsWell()) {
-      // Once its window is spent and no room is known, a req only reads: adds that are sure to be given
-      // back would make the customer look fuller to the other nodes than it is.
-      r.charged = r.customer.spent && r.customer.room < r.reserved + keptBack(r) ? 0 : r.reserved;
+    // Once its window is spent and no room is known, a req only reads: adds that are sure to be given back
+    // would make the customer look fuller to the other nodes than it is.
+    boolean full = r.customer.spent && !r.customer.alone && r.customer.room < r.reserved + keptBack(r);
+    // Guards against a counter that is silent, refusing, full or slow: a call goes out every gap, for the
+    // next req that may pass; the others are decided on this node's share at once. Covers any cause of missing
+    // answers; harms a little where two calls in a row are lost by chance.
+    if (counterIsWell() || site.counting().open() && !full && now >= nextCall) {
+      nextCall = now + (long) gap;
+      r.charged = full ? 0 : r.reserved;
       r.counting = true;
       call(r.window, r, r.charged);
       return;
     }
-    // Guards against a counter that is silent, refusing, full or slow: reqs are decided on this node's share
-    // at once and a call goes out every gap, carrying what is owed for the customer. Covers any cause of
-    // missing answers; harms a little where two calls in a row are lost by chance.
-    decide(r, hasLocalRoom(r));
+    decide(r, !full && hasLocalRoom(r));
     r.window.owed += r.admitted ? r.reserved : 0;
-    if (site.counting().open() && now >= nextCall) {
-      nextCall = now + (long) gap;
-      call(r.window, null, 0);
-    }
   }
 
   /** Wants a count call, which carries what is owed there too. */
@@ -286,7 +288,7 @@
       w.owed += (r.admitted ? r.reserved : 0) - r.charged;
       touch(r);
     }
-    if (answered && w.owed != 0) call(w, null, 0);
+    if (answered && w.owed != 0 && counterIsWell()) call(w, null, 0);
   }
 
   /** Takes in a total: what others charged since the last one leaves the customer's room. */
@@ -319,12 +321,13 @@
 
   private void judgeCounter(boolean answered) {
     misses = answered ? 0 : misses + 1;
+    double crowd = Math.max(1, site.nodes() / GAP_NODES); // the nodes together must not test it into a jam
     if (answered) {
-      gap *= 1 - gap / GAP_FADE;
+      gap *= 1 - gap / (GAP_FADE * crowd);
       gap = gap < site.tick() ? 0 : gap;
     } else if ((misses >= MISSES || gap > 0) && now >= nextGap) {
       nextGap = now + ROUND;
-      gap = Math.min(GAP_MOST, Math.max(GAP_FIRST, gap * GAP_UP));
+      gap = Math.min(GAP_MOST * crowd, Math.max(GAP_FIRST * crowd, gap * GAP_UP));
     }
   }
 
@@ -597,6 +600,7 @@
       double unit = spent / Math.max(LEAST_UNIT, r.told.units());
       r.kind.unitTime += (r.kind.unitTime <= 0 ? 1 : LEARN) * (unit - r.kind.unitTime);
     }
+    recentTime += RECENT * (spent - recentTime);
     boolean time = how == Outcome.PASSED || how == Outcome.CANCELLED || how == Outcome.LATE;
     s.busy += time ? spent / d.pace : how == Outcome.NOT_SENT ? 0 : FAULT;
     forget(s);
@@ -623,11 +627,6 @@
     touch(r);
   }
 
-  private void begun(Event.Begun b) {
-    Req r = reqs.find(b.rid());
-    if (r != null) r.streaming = true;
-  }
-
   private void clientLeft(Event.ClientLeft c) {
     Req r = reqs.find(c.rid());
     if (r == null) return;
@@ -655,7 +654,7 @@
     double part = WAIT_PART * (r.belated ? 1 - KEPT_BACK : 1) * (1 + VALUE_TILT * tilt);
     double free = FREE_OUT * warmSeen / Math.max(1, site.nodes());
     double wait = part * r.kind.rule.target();
-    return out >= Math.max(free, wait * passed / RATE_TIME);
+    return out >= Math.max(free, wait * passed / RATE_TIME) + CHANCE_OUT * Math.max(0, 1 - recentTime / wait);
   }
 
   private void round() {
