In a jam totals are scaled by the part of passed reqs that is counted

Change: each node knows which part of its own passed reqs was counted and takes the others for alike. The recent dispatch time is kept for each frontend, so that long reqs do not press short ones. Covers any spell in which reqs pass uncounted; harms where this node is cut off alone. Test: 200 nodes thin out their calls to a counter that does not answer.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -32,6 +32,7 @@
   static final double SHARE_STEP = 0.1; // step of the learned share of a customer's use: ten answers
   static final double SHARE_FROM = 0.25; // part of the burst that a total needs to teach the share
   static final double NOUGHT = 0.01; // units: totals come to seven digits
+  static final double COUNTED = 0.05; // step of the part of passed reqs that were counted: 20 reqs
   static final int MISSES = 2; // count calls in a row without answer before the counter is taken as bad
   static final double GAP_FIRST = 100; // 10 ms between calls to a bad counter at first
   static final double GAP_UP = 1.5; // the gap grows by this, once a round, while answers are missing
@@ -115,7 +116,8 @@
   private static final class Window {
     Customer customer;
     long name, turn;
-    double top; // last total known, with what was lost
+    double seen; // last total, with what was lost
+    double top; // units passed of it, by that total
     double mine; // net units of this node that answers have confirmed
     double owed; // units charged or given back that no call has carried yet
     double unsure; // units of timed-out adds since the last total
@@ -144,7 +146,7 @@
   /** What the instance has learned of a frontend. */
   private static final class Kind {
     final Site.Frontend rule;
-    double unitTime; // mean time a unit takes
+    double unitTime, recentTime; // mean time a unit takes; of a dispatch lately
     long usualLeft; // the wait that most tries come with: first ones; found by majority vote
     long votes;
 
@@ -173,12 +175,12 @@
   private final long started;
   private long longest; // client timeout
   private long now;
+  private double counted = 1; // recent part of the passed reqs that count calls decided
   private int misses; // count calls in a row without an answer
   private double gap; // between count calls; 0: the counter is well
   private long nextCall, nextGap;
   private double passed; // fading number of passed dispatches
   private int out;
-  private double recentTime; // of a dispatch
   private double meanValue; // of a unit
   private double unitsSent; // fading, over the cold rule's window
   private double warmSeen; // app srvs, cold ones counted in part
@@ -240,8 +242,8 @@
     // would make the customer look fuller to the other nodes than it is.
     boolean full = r.customer.spent && !r.customer.alone && r.customer.room < r.reserved + keptBack(r);
     // Guards against a counter that is silent, refusing, full or slow: a call goes out every gap, for the
-    // next req that may pass; the others are decided on this node's share at once. Covers any cause of missing
-    // answers; harms a little where two calls in a row are lost by chance.
+    // next req that may pass; the others are decided on this node's share at once. Covers any cause of
+    // missing answers; harms a little where two calls in a row are lost by chance.
     if (counterIsWell() || site.counting().open() && !full && now >= nextCall) {
       nextCall = now + (long) gap;
       r.charged = full ? 0 : r.reserved;
@@ -303,14 +305,17 @@
     if (total + NOUGHT < w.mine) {
       // Guards against lost counts (a flush, a counter back empty): the total is below what this node alone
       // was answered for, so the known floor stands in for the rest of this window.
-      w.lost = Math.max(w.top + units, w.mine) - total;
+      w.lost = Math.max(w.seen + units, w.mine) - total;
       w.mine = total;
     }
-    double others = total + w.lost - w.top - units;
+    double others = total + w.lost - w.seen - units;
+    w.seen = total + w.lost;
     double known = Math.min(w.unsure, Math.max(0, others)); // timed-out adds of this node that did count
     w.unsure = 0;
-    c.room = Math.max(-DEBT * c.plan.burst(), c.room - others + known);
-    w.top = total + w.lost;
+    // Guards against a jam, in which much passes uncounted: others are taken to count as little as this node.
+    double use = Math.max(0, others - known) / counted + Math.min(0, others);
+    c.room = Math.max(-DEBT * c.plan.burst(), c.room - use);
+    w.top += units + use + known;
     if (w.top > SHARE_FROM * c.plan.burst()) {
       double part = Math.min(1, Math.max(1.0 / c.width, w.mine / w.top));
       c.share += SHARE_STEP * (part - c.share);
@@ -345,6 +350,7 @@
       finish(r, End.DENIED, rules.longestPause());
     } else {
       r.admitted = true;
+      counted += COUNTED * ((r.counting ? 1 : 0) - counted);
       c.room -= r.reserved;
       c.store -= r.told.units();
     }
@@ -408,10 +414,8 @@
     return c.room > keptBack(r) * c.share;
   }
 
-  /**
-   * Guards against client tries that come back past their response target and take room from first ones: they
-   * pass only while plenty is left. Harms nobody in time, unless a try's wait is told wrongly.
-   */
+  // Guards against client tries that come back past their response target and take room from first ones: they
+  // pass only while plenty is left. Harms nobody in time, unless a try's wait is told wrongly.
   private double keptBack(Req r) {
     return r.belated && r.customer.spent ? KEPT_BACK * r.customer.plan.burst() : 0;
   }
@@ -452,11 +456,9 @@
     s.fadedAt = now;
   }
 
-  /**
-   * What it has been seen to manage: dispatches for the time they took, what is out counting as unfinished
-   * and a failed one as time lost. One judgement for slow, pausing, failing and dead app srvs alike. Harms
-   * one that drew a few very costly reqs.
-   */
+  // What it has been seen to manage: dispatches for the time they took, what is out counting as unfinished
+  // and a failed one as time lost. One judgement for slow, pausing, failing and dead app srvs alike. Harms
+  // one that drew a few very costly reqs.
   private double slowness(Srv s) {
     fade(s);
     double age = Math.max(0, now * s.paceSum - s.paceBase);
@@ -600,7 +602,7 @@
       double unit = spent / Math.max(LEAST_UNIT, r.told.units());
       r.kind.unitTime += (r.kind.unitTime <= 0 ? 1 : LEARN) * (unit - r.kind.unitTime);
     }
-    recentTime += RECENT * (spent - recentTime);
+    r.kind.recentTime += RECENT * (spent - r.kind.recentTime);
     boolean time = how == Outcome.PASSED || how == Outcome.CANCELLED || how == Outcome.LATE;
     s.busy += time ? spent / d.pace : how == Outcome.NOT_SENT ? 0 : FAULT;
     forget(s);
@@ -642,11 +644,9 @@
 
   // ---- pressure and housekeeping
 
-  /**
-   * Guards against queues that outlast the response target (overload, dead or slowed app srvs, retry storms):
-   * by Little's law what is out over what passes a second is how long a dispatch takes now. Beyond the part
-   * of the target allowed a req is denied at once, cheap ones sooner. Harms where app srvs answer in bursts.
-   */
+  // Guards against queues that outlast the response target (overload, dead or slowed app srvs, retry storms):
+  // by Little's law what is out over what passes a second is how long a dispatch takes now. Beyond the part
+  // of the target allowed a req is denied at once, cheap ones sooner. Harms where app srvs answer in bursts.
   private boolean pressed(Req r) {
     double value = r.customer.plan.price() * r.kind.rule.value();
     meanValue += (meanValue == 0 ? 1 : VALUE_STEP) * (value - meanValue);
@@ -654,7 +654,8 @@
     double part = WAIT_PART * (r.belated ? 1 - KEPT_BACK : 1) * (1 + VALUE_TILT * tilt);
     double free = FREE_OUT * warmSeen / Math.max(1, site.nodes());
     double wait = part * r.kind.rule.target();
-    return out >= Math.max(free, wait * passed / RATE_TIME) + CHANCE_OUT * Math.max(0, 1 - recentTime / wait);
+    double headroom = CHANCE_OUT * Math.max(0, 1 - r.kind.recentTime / wait);
+    return out >= Math.max(free, wait * passed / RATE_TIME) + headroom;
   }
 
   private void round() {
--- a/src/test/java/saltlatch/ControlTest.java
+++ b/src/test/java/saltlatch/ControlTest.java
@@ -41,7 +41,7 @@
   /** Many nodes with few reqs each: their rotations begin at different app srvs. */
   @Test
   void rotationsStartApart() {
-    Trace other = new Trace(Trace.site(9, Trace.FIRM, false, false));
+    Trace other = new Trace(Trace.site(9, 2, Trace.FIRM, false, false));
     for (Trace node : List.of(t, other)) {
       node.list("11/1", "12/1", "13/1", "14/1", "15/1");
       node.arrive(1, REPLAYABLE, 1);
@@ -90,6 +90,22 @@
     t.matches("silent-counter");
   }
 
+  /** 200 nodes must not test a jammed counter into a longer jam: each calls far less than one of two does. */
+  @Test
+  void jamOfManyNodes() {
+    Trace many = new Trace(Trace.site(7, 200, Trace.FIRM, false, false));
+    for (Trace node : List.of(t, many)) {
+      node.list("11/1");
+      for (int i = 0; i < 200; i++) {
+        node.arrive(i, REPLAYABLE, 0.01);
+        node.pass(300);
+        node.counted(Outcome.LATE);
+        node.ended(i, 0, Outcome.PASSED);
+      }
+    }
+    assertEquals(List.of(47, 12), List.of(t.count("-> count"), many.count("-> count")));
+  }
+
   /** A counter that never answers still leaves every req with one final answer in time. */
   @Test
   void neverAnswered() throws IOException {
--- a/src/test/java/saltlatch/Trace.java
+++ b/src/test/java/saltlatch/Trace.java
@@ -36,12 +36,12 @@
   }
 
   static Site site(Site.Plan plan, boolean unitsAfter, boolean follow) {
-    return site(7, plan, unitsAfter, follow);
+    return site(7, 2, plan, unitsAfter, follow);
   }
 
-  static Site site(long seed, Site.Plan plan, boolean unitsAfter, boolean follow) {
+  static Site site(long seed, int nodes, Site.Plan plan, boolean unitsAfter, boolean follow) {
     Site.Rules rules = new Site.Rules(follow, true, 4, true, 10_000, true, 100_000, 0.2, 4, 10_000);
-    return new Site(seed, 2, 20, rules, new Site.Counting(true, unitsAfter), List.of(REPLAYABLE, UNIQUED, ONCE),
+    return new Site(seed, nodes, 20, rules, new Site.Counting(true, unitsAfter), List.of(REPLAYABLE, UNIQUED, ONCE),
         List.of(plan));
   }
 
