In a jam belated further tries are denied at once

Cause: with a jammed counter 15 to 20 in 100 reqs were passed late: denied first on a share, they came back past their response target and took calls, room and app srvs from tries in time. Change: while the counter is not well a further try that cannot meet its target is denied. Covers retry storms of any cause; harms where late answers earn much.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -240,7 +240,9 @@
     fill(r.customer);
     // Once its window is spent and no room is known, a req only reads: adds that are sure to be given back
     // would make the customer look fuller to the other nodes than it is.
-    boolean full = r.customer.spent && !r.customer.alone && r.customer.room < r.reserved + keptBack(r);
+    boolean full = r.customer.spent && !r.customer.alone && r.customer.room < r.reserved + keptBack(r)
+        || r.belated && !counterIsWell();
+    // Belated tries earn too little for a jammed counter's calls or unsure room: denied there.
     // Guards against a counter that is silent, refusing, full or slow: a call goes out every gap, for the
     // next req that may pass; the others are decided on this node's share at once. Covers any cause of
     // missing answers; harms a little where two calls in a row are lost by chance.
--- a/src/test/java/saltlatch/ControlTest.java
+++ b/src/test/java/saltlatch/ControlTest.java
@@ -143,6 +143,12 @@
     t.counted(6);
     t.arrive(4, REPLAYABLE, 1);
     t.counted(7);
+    t.arrive(5, REPLAYABLE, 0.1);
+    t.counted(Outcome.LATE);
+    t.arrive(6, REPLAYABLE, 0.1);
+    t.counted(Outcome.LATE); // calls are thinned from here on
+    t.arrive(7, REPLAYABLE, 0.1, true);
+    t.arrive(8, REPLAYABLE, 0.1);
     t.matches("further-tries");
   }
 
