Belated tries of spent customers are denied, no part of a burst kept back for the rest

Cause: the same as before, outside a jam; the rule of a third of a burst kept back is folded into it.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -27,7 +27,7 @@
   static final double SECOND = 10_000; // rates are in units a second
   static final long ROUND = 1_000; // 100 ms between housekeepings: fine beside troubles of seconds
   static final double REFILLED = 0.9; // part of the burst at which a spent quota counts as filled again
-  static final double KEPT_BACK = 0.35; // part of a burst, or of the wait allowed, kept from belated tries
+  static final double KEPT_BACK = 0.35; // part of the wait allowed that is kept from belated tries
   static final double DEBT = 0.6; // bursts: what passes beyond a quota draws nothing from it
   static final double SHARE_STEP = 0.1; // step of the learned share of a customer's use: ten answers
   static final double SHARE_FROM = 0.25; // part of the burst that a total needs to teach the share
@@ -240,9 +240,10 @@
     fill(r.customer);
     // Once its window is spent and no room is known, a req only reads: adds that are sure to be given back
     // would make the customer look fuller to the other nodes than it is.
-    boolean full = r.customer.spent && !r.customer.alone && r.customer.room < r.reserved + keptBack(r)
-        || r.belated && !counterIsWell();
-    // Belated tries earn too little for a jammed counter's calls or unsure room: denied there.
+    boolean full = r.customer.spent && !r.customer.alone && r.customer.room < r.reserved
+        || r.belated && (r.customer.spent || !counterIsWell());
+    // Guards against client tries that come back past their response target and take room from first ones:
+    // none passes for a spent customer or in a jam. Harms nobody in time, unless a wait is told wrongly.
     // Guards against a counter that is silent, refusing, full or slow: a call goes out every gap, for the
     // next req that may pass; the others are decided on this node's share at once. Covers any cause of
     // missing answers; harms a little where two calls in a row are lost by chance.
@@ -279,7 +280,7 @@
       w.customer.spent |= !below || w.customer.room <= 0;
       // Guards against windows that differ from the quota's store: a heavy customer would spend each window
       // at its start, stand denied with room, and find a whole burst again at the turn.
-      decide(r, w.customer.spent ? w.customer.room >= r.reserved + keptBack(r) : below);
+      decide(r, w.customer.spent ? !r.belated && w.customer.room >= r.reserved : below);
     } else if (r != null) {
       decide(r, hasLocalRoom(r));
     }
@@ -413,13 +414,7 @@
       c.alone = true;
       c.room *= c.room > 0 ? c.share : 1;
     }
-    return c.room > keptBack(r) * c.share;
-  }
-
-  // Guards against client tries that come back past their response target and take room from first ones: they
-  // pass only while plenty is left. Harms nobody in time, unless a try's wait is told wrongly.
-  private double keptBack(Req r) {
-    return r.belated && r.customer.spent ? KEPT_BACK * r.customer.plan.burst() : 0;
+    return c.room > 0;
   }
 
   /** This node's part of the hard ceiling, from local knowledge: rate and amount over its nodes. */
