Denials on a share advise the time of the node's next count call

Cause: in a jam a denial on a share told clients to come back at the window's turn, a second or more later; their next try then was belated and lost. The node does not know the quota to be spent, and its next call may tell.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -348,7 +348,8 @@
     boolean open = cap <= 0 || c.out < Math.max(1, Math.ceil(cap * c.share));
     if (!room) {
       double spread = SPREAD_BACK * length(c.plan) * chance.nextDouble();
-      finish(r, End.DENIED, r.window.turn - now + (long) spread);
+      long unsure = Math.max(0, nextCall - now) + (long) (gap * chance.nextDouble());
+      finish(r, End.DENIED, r.belated || r.counting ? r.window.turn - now + (long) spread : unsure);
     } else if (!open || !ceilingAllows(c, r.told.units()) || pressed(r) || (r.next = choose(r)) == null) {
       finish(r, End.DENIED, rules.longestPause());
     } else {
