Pressure goes by what the client still waits; headroom lasts to twice the wait allowed

Change: the wait allowed is a part of the target or of the time the client still waits, whichever is less; headroom is gone at twice the wait allowed in place of once.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -57,6 +57,7 @@
   static final double WAIT_PART = 0.3; // part of the response target that dispatches may take on average
   static final double FREE_OUT = 3; // dispatches out of all nodes for each warm app srv, free of pressure
   static final double CHANCE_OUT = 4; // more dispatches out of a node while quick: so many meet by chance
+  static final double LONG_WAIT = 2; // times the wait allowed at which recent dispatches leave none of these
   static final double RECENT = 0.1; // step of the recent time of a dispatch: about ten
   static final double PROMPT = 2; // mean dispatch times that a further try needs left of its response target
   static final long VOTES = 100; // tries: how firmly the usual wait is held
@@ -644,15 +645,16 @@
 
   // Guards against queues that outlast the response target (overload, dead or slowed app srvs, retry storms):
   // by Little's law what is out over what passes a second is how long a dispatch takes now. Beyond the part
-  // of the target allowed a req is denied at once, cheap ones sooner. Harms where app srvs answer in bursts.
+  // of the target allowed (or of what its client still waits, if less) a req is denied at once, cheap ones sooner.
+  // Harms where app srvs answer in bursts.
   private boolean pressed(Req r) {
     double value = r.customer.plan.price() * r.kind.rule.value();
     meanValue += (meanValue == 0 ? 1 : VALUE_STEP) * (value - meanValue);
     double tilt = meanValue <= 0 ? 0 : Math.max(-1, Math.min(1, (value - meanValue) / meanValue));
     double part = WAIT_PART * (r.belated ? 1 - KEPT_BACK : 1) * (1 + VALUE_TILT * tilt);
     double free = FREE_OUT * warmSeen / Math.max(1, site.nodes());
-    double wait = part * r.kind.rule.target();
-    double headroom = CHANCE_OUT * Math.max(0, 1 - r.kind.recentTime / wait);
+    double wait = part * Math.min(r.kind.rule.target(), r.end - now);
+    double headroom = CHANCE_OUT * Math.max(0, 1 - r.kind.recentTime / (LONG_WAIT * wait));
     return out >= Math.max(free, wait * passed / RATE_TIME) + headroom;
   }
 
--- a/src/test/java/saltlatch/ControlTest.java
+++ b/src/test/java/saltlatch/ControlTest.java
@@ -246,7 +246,7 @@
     t.matches("ceiling-across-restart");
   }
 
-  /** More out than passes within the target's part is denied at once; what passes opens it again. */
+  /** More out than passes within the target's part is denied at once, sooner for clients with little time left. */
   @Test
   void pressure() throws IOException {
     t.start(Trace.site(new Site.Plan(0, 0, 0, 0, 0, 1), false, false));
@@ -254,8 +254,12 @@
     for (int i = 1; i <= 8; i++) {
       t.arrive(i, REPLAYABLE, 1);
     }
+    t.now += 4_000;
     t.ended(1, 0, Outcome.PASSED);
+    t.left = 2_600;
     t.arrive(9, REPLAYABLE, 1);
+    t.left = 30_000;
+    t.arrive(10, REPLAYABLE, 1);
     t.matches("pressure");
   }
 
--- a/src/test/java/saltlatch/Trace.java
+++ b/src/test/java/saltlatch/Trace.java
@@ -29,6 +29,7 @@
   private final ArrayDeque<Long> names = new ArrayDeque<>();
   private Control control;
   long now = 60_000;
+  long left = 30_000; // that clients wait
   boolean muted; // for stretches that tell nothing new
 
   private static Site.Frontend kind(Site.Effect effect, Site.Group group) {
@@ -74,8 +75,9 @@
   }
 
   void arrive(long rid, int frontend, double units, boolean repeat) {
-    say("req " + rid + " of frontend " + frontend + ", units " + units + (repeat ? ", a further try" : ""));
-    tell(new Event.Arrived(rid, frontend, 0, 9, 30_000, units, 2, 0, repeat));
+    say("req " + rid + " of frontend " + frontend + ", units " + units + (repeat ? ", a further try" : "")
+        + (left < 30_000 ? ", waits " + left / 10 : ""));
+    tell(new Event.Arrived(rid, frontend, 0, 9, left, units, 2, 0, repeat));
   }
 
   void counted(double total) {
