--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -645,8 +645,8 @@
 
   // Guards against queues that outlast the response target (overload, dead or slowed app srvs, retry storms):
   // by Little's law what is out over what passes a second is how long a dispatch takes now. Beyond the part
-  // of the target allowed (or of what its client still waits, if less) a req is denied at once, cheap ones sooner.
-  // Harms where app srvs answer in bursts.
+  // of the target allowed (of what its client still waits, if less) a req is denied at once, cheap ones
+  // sooner. Harms where app srvs answer in bursts.
   private boolean pressed(Req r) {
     double value = r.customer.plan.price() * r.kind.rule.value();
     meanValue += (meanValue == 0 ? 1 : VALUE_STEP) * (value - meanValue);
