An app srv's record lasts three turns of the rotation at least

Change: the record fades over three turns of the rotation, taken from the app srvs in use and what passes a second, at least 4 s, at most a minute. The fleet is weighed once a round now. Covers stuck, slow and cut-off app srvs at any rate; harms one that recovers and is met late.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -40,6 +40,7 @@
   static final double GAP_NODES = 20; // nodes that may use these gaps together: 2,000 calls a second at first
   static final double GAP_FADE = 3_300; // 0.33 s: time constant of the gap while answers come
   static final double MEMORY = 40_000; // 4 s: an app srv's record fades; tens of dispatches, yet fresh
+  static final double TURNS = 3; // turns of the rotation that a record lasts at least, or few reqs tell nothing
   static final double PRIOR = 3; // dispatches at fleet speed assumed of every app srv, steadies the few
   static final double FAULT = 8; // mean dispatch times that a failed dispatch counts as lost time
   static final double LEARN = 0.02; // step of the mean time a unit takes: about 50 dispatches
@@ -183,6 +184,7 @@
   private double passed; // fading number of passed dispatches
   private int out;
   private double meanValue; // of a unit
+  private double memory = MEMORY; // over this an app srv's record fades
   private double unitsSent; // fading, over the cold rule's window
   private double warmSeen; // app srvs, cold ones counted in part
   private long followAt; // discovery is asked then; asked already: never
@@ -449,7 +451,7 @@
   // ---- app srvs
 
   private void fade(Srv s) {
-    double keep = Math.exp((s.fadedAt - now) / MEMORY);
+    double keep = Math.exp((s.fadedAt - now) / memory);
     s.done *= keep;
     s.busy *= keep;
     s.fadedAt = now;
@@ -548,7 +550,6 @@
       s.usable = e.condition() == Event.Condition.READY;
     }
     srvs.each(this::forget);
-    weighFleet();
     for (int i = 0; i < touched.size(); i++) {
       Req r = touched.get(i);
       if (r.next != null && !r.next.usable) again(r, Outcome.NOT_CONNECTED);
@@ -557,11 +558,6 @@
 
   private void forget(Srv s) { if (!s.usable && s.out == 0) srvs.release(s.id); }
 
-  private void weighFleet() {
-    warmSeen = 0;
-    srvs.each(s -> warmSeen += s.usable ? warmth(s) : 0);
-  }
-
   // ---- dispatches and how they end
 
   private void ended(Event.Ended e) {
@@ -662,7 +658,9 @@
     roundAt = now + ROUND;
     passed *= Math.exp(-ROUND / RATE_TIME);
     unitsSent *= Math.exp(-ROUND / Math.max(1.0, rules.fallTime()));
-    weighFleet();
+    warmSeen = 0;
+    srvs.each(s -> warmSeen += s.usable ? warmth(s) : 0);
+    memory = Math.max(MEMORY, Math.min(AGEING, TURNS * warmSeen * RATE_TIME / Math.max(1, passed)));
     reqs.each(r -> {
       // Guards against dispatches stuck on bad app srvs, or whose answers got lost on the way, taking up what
       // may be out and denying the rest. Harms where one long req makes an app srv look silent.
--- a/src/test/java/saltlatch/ControlTest.java
+++ b/src/test/java/saltlatch/ControlTest.java
@@ -246,11 +246,29 @@
     t.matches("ceiling-across-restart");
   }
 
+  /** A req every 2.5 s over six app srvs, one of which never answers: its record outlasts several turns. */
+  @Test
+  void remembersAtFewReqs() {
+    t.start(Trace.site(new Site.Plan(0, 0, 0, 0, 0, 1), false, false));
+    t.list("11/1", "12/1", "13/1", "14/1", "15/1", "16/1");
+    for (int i = 0; i < 60; i++) {
+      int before = t.count("to 11 for");
+      t.arrive(i, REPLAYABLE, 1);
+      boolean stuck = t.count("to 11 for") > before;
+      t.pass(stuck ? 25_000 : 1_000);
+      t.ended(i, 0, stuck ? Outcome.LATE : Outcome.PASSED);
+      if (stuck) t.ended(i, 1, Outcome.PASSED);
+      t.pass(24_000);
+    }
+    assertEquals(3, t.count("to 11 for"));
+  }
+
   /** More out than passes within the target's part is denied at once, sooner for clients with little time left. */
   @Test
   void pressure() throws IOException {
     t.start(Trace.site(new Site.Plan(0, 0, 0, 0, 0, 1), false, false));
     t.list("11/1", "12/1");
+    t.pass(1_500);
     for (int i = 1; i <= 8; i++) {
       t.arrive(i, REPLAYABLE, 1);
     }
