Headroom of all nodes together is at most two dispatches an app srv

Four dispatches of headroom a node are up to fifteen an app srv, all free at the start; the fleet tips, and then opens and tips again. Change: the headroom is bounded by two dispatches a warm app srv over all nodes. The fleet is weighed with each list again, so that a node just started is not pressed by a fleet it has not weighed.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -40,7 +40,7 @@
   static final double GAP_NODES = 20; // nodes that may use these gaps together: 2,000 calls a second at first
   static final double GAP_FADE = 3_300; // 0.33 s: time constant of the gap while answers come
   static final double MEMORY = 40_000; // 4 s: an app srv's record fades; tens of dispatches, yet fresh
-  static final double TURNS = 3; // turns of the rotation that a record lasts at least, or few reqs tell nothing
+  static final double TURNS = 3; // turns of the rotation that a record lasts at least: few reqs tell little
   static final double PRIOR = 3; // dispatches at fleet speed assumed of every app srv, steadies the few
   static final double FAULT = 8; // mean dispatch times that a failed dispatch counts as lost time
   static final double LEARN = 0.02; // step of the mean time a unit takes: about 50 dispatches
@@ -58,6 +58,7 @@
   static final double WAIT_PART = 0.3; // part of the response target that dispatches may take on average
   static final double FREE_OUT = 3; // dispatches out of all nodes for each warm app srv, free of pressure
   static final double CHANCE_OUT = 4; // more dispatches out of a node while quick: so many meet by chance
+  static final double CHANCE_ALL = 2; // of these for each warm app srv, over all nodes
   static final double LONG_WAIT = 2; // times the wait allowed at which recent dispatches leave none of these
   static final double RECENT = 0.1; // step of the recent time of a dispatch: about ten
   static final double PROMPT = 2; // mean dispatch times that a further try needs left of its response target
@@ -214,7 +215,9 @@
       else if (e instanceof Event.Due d) due(d);
       else if (e instanceof Event.Listed l) listed(l);
       else if (e instanceof Event.Begun b && reqs.find(b.rid()) != null) reqs.find(b.rid()).streaming = true;
-      else if (e instanceof Event.ClientLeft c) clientLeft(c);
+      else if (e instanceof Event.ClientLeft c && reqs.find(c.rid()) != null) {
+        touch(reqs.find(c.rid())).over = true;
+      }
     }
     bring();
   }
@@ -550,12 +553,15 @@
       s.usable = e.condition() == Event.Condition.READY;
     }
     srvs.each(this::forget);
+    weighFleet();
     for (int i = 0; i < touched.size(); i++) {
       Req r = touched.get(i);
       if (r.next != null && !r.next.usable) again(r, Outcome.NOT_CONNECTED);
     }
   }
 
+  private void weighFleet() { warmSeen = 0; srvs.each(s -> warmSeen += s.usable ? warmth(s) : 0); }
+
   private void forget(Srv s) { if (!s.usable && s.out == 0) srvs.release(s.id); }
 
   // ---- dispatches and how they end
@@ -624,13 +630,6 @@
     touch(r);
   }
 
-  private void clientLeft(Event.ClientLeft c) {
-    Req r = reqs.find(c.rid());
-    if (r == null) return;
-    r.over = true;
-    touch(r);
-  }
-
   private void due(Event.Due d) {
     Req r = reqs.find(d.handle());
     if (d.handle() < 0) round();
@@ -650,7 +649,8 @@
     double part = WAIT_PART * (r.belated ? 1 - KEPT_BACK : 1) * (1 + VALUE_TILT * tilt);
     double free = FREE_OUT * warmSeen / Math.max(1, site.nodes());
     double wait = part * Math.min(r.kind.rule.target(), r.end - now);
-    double headroom = CHANCE_OUT * Math.max(0, 1 - r.kind.recentTime / (LONG_WAIT * wait));
+    double chances = Math.min(CHANCE_OUT, CHANCE_ALL * warmSeen / Math.max(1, site.nodes()));
+    double headroom = chances * Math.max(0, 1 - r.kind.recentTime / (LONG_WAIT * wait));
     return out >= Math.max(free, wait * passed / RATE_TIME) + headroom;
   }
 
@@ -658,8 +658,7 @@
     roundAt = now + ROUND;
     passed *= Math.exp(-ROUND / RATE_TIME);
     unitsSent *= Math.exp(-ROUND / Math.max(1.0, rules.fallTime()));
-    warmSeen = 0;
-    srvs.each(s -> warmSeen += s.usable ? warmth(s) : 0);
+    weighFleet();
     memory = Math.max(MEMORY, Math.min(AGEING, TURNS * warmSeen * RATE_TIME / Math.max(1, passed)));
     reqs.each(r -> {
       // Guards against dispatches stuck on bad app srvs, or whose answers got lost on the way, taking up what
@@ -682,9 +681,10 @@
 
   // ---- from the wanted to the present
 
-  private void touch(Req r) {
+  private Req touch(Req r) {
     if (!r.touched) touched.add(r);
     r.touched = true;
+    return r;
   }
 
   /** Emits the difference between what is wanted and what is. */
