--- a/src/main/java/saltlatch/simhost/Reply.java
+++ b/src/main/java/saltlatch/simhost/Reply.java
@@ -37,6 +37,7 @@
     tail.writeTo(out);
   }
 
+  /** The place of a new record. To be called before {@code records} is read, which it may replace by a larger one. */
   private int next(int code, int inst) {
     int at = count++ * RECORD;
     if (at + RECORD > records.capacity()) {
@@ -86,7 +87,8 @@
 
     @Override
     public void abort(long rid) {
-      records.putInt(next(262, inst) + 4, (int) rid);
+      int at = next(262, inst);
+      records.putInt(at + 4, (int) rid);
     }
 
     @Override
@@ -103,12 +105,14 @@
 
     @Override
     public void probe(long srv) {
-      records.putInt(next(266, inst) + 4, (int) srv);
+      int at = next(266, inst);
+      records.putInt(at + 4, (int) srv);
     }
 
     @Override
     public void closeIdle(long srv) {
-      records.putInt(next(256, inst) + 4, (int) srv);
+      int at = next(256, inst);
+      records.putInt(at + 4, (int) srv);
     }
 
     @Override
@@ -119,7 +123,8 @@
 
     @Override
     public void follow(boolean on) {
-      records.put(next(268, inst) + 4, (byte) (on ? 1 : 0));
+      int at = next(268, inst);
+      records.put(at + 4, (byte) (on ? 1 : 0));
     }
 
     @Override
--- a/src/test/java/saltlatch/SimHostTest.java
+++ b/src/test/java/saltlatch/SimHostTest.java
@@ -59,6 +59,18 @@
     assertEquals("0400000000000000", HexFormat.of().formatHex(out.toByteArray()));
   }
 
+  /** A reply that outgrows its buffer at any kind of action is whole. */
+  @Test
+  void longReply() throws IOException {
+    run(frame(1000, site(), attach(site().length), hex("0601 0300 4d00000000000000")),
+        (now, site, to) -> (at, events) -> {
+          for (int i = 0; i < 257; i++) to.abort(i);
+        });
+    ByteBuffer reply = ByteBuffer.wrap(out.toByteArray()).order(ByteOrder.LITTLE_ENDIAN);
+    assertEquals(257, reply.getInt(4));
+    assertEquals(256, reply.getInt(8 + 24 * 256 + 4));
+  }
+
   @Test
   void everyEventAndAction() throws IOException {
     byte[][] records = {attach(site().length),
