--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -251,9 +251,9 @@
     // Guards against client tries that come back past their response target and take room from first ones:
     // none passes for a spent customer or in a jam. Harms nobody in time, unless a wait is told wrongly.
     // Guards against a counter that is silent, refusing, full or slow: a call goes out every gap, for the
-    // next req that may pass; the others are decided on this node's share at once. Covers any cause of
+    // next req in time; the others are decided on this node's share at once. Covers any cause of
     // missing answers; harms a little where two calls in a row are lost by chance.
-    if (counterIsWell() || site.counting().open() && !full && now >= nextCall) {
+    if (counterIsWell() || site.counting().open() && !r.belated && now >= nextCall) {
       nextCall = now + (long) gap;
       r.charged = full ? 0 : r.reserved;
       r.counting = true;
