Read-over: comments beside what they guard, one plan without quota for the tests

A comment stood below the statement it explains, and one field's comment was unclear; five copies of the same plan in the tests are one now; a test's title said what belated tries did before. No decision changes: the module's code is the same but for comments, traces and assertions are untouched.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -120,7 +120,7 @@
     Customer customer;
     long name, turn;
     double seen; // last total, with what was lost
-    double top; // units passed of it, by that total
+    double top; // units charged by that total, with those taken to have passed uncounted
     double mine; // net units of this node that answers have confirmed
     double owed; // units charged or given back that no call has carried yet
     double unsure; // units of timed-out adds since the last total
@@ -246,10 +246,10 @@
     fill(r.customer);
     // Once its window is spent and no room is known, a req only reads: adds that are sure to be given back
     // would make the customer look fuller to the other nodes than it is.
-    boolean full = r.customer.spent && !r.customer.alone && r.customer.room < r.reserved
-        || r.belated && (r.customer.spent || !counterIsWell());
     // Guards against client tries that come back past their response target and take room from first ones:
     // none passes for a spent customer or in a jam. Harms nobody in time, unless a wait is told wrongly.
+    boolean full = r.customer.spent && !r.customer.alone && r.customer.room < r.reserved
+        || r.belated && (r.customer.spent || !counterIsWell());
     // Guards against a counter that is silent, refusing, full or slow: a call goes out every gap, for the
     // next req in time; the others are decided on this node's share at once. Covers any cause of
     // missing answers; harms a little where two calls in a row are lost by chance.
--- a/src/test/java/saltlatch/ControlTest.java
+++ b/src/test/java/saltlatch/ControlTest.java
@@ -128,7 +128,7 @@
     t.matches("lost-counts");
   }
 
-  /** Once spent, first tries take the room that comes back; further tries wait until plenty is there. */
+  /** Once spent or in a jam, first tries take the room there is; further tries come too late and are denied. */
   @Test
   void furtherTries() throws IOException {
     t.list("11/1", "12/1", "13/1");
@@ -213,7 +213,7 @@
   /** A cold app srv beside a warm one gets its first req and then only what the budget holds. */
   @Test
   void coldStart() {
-    t.start(Trace.site(new Site.Plan(0, 0, 0, 0, 0, 1), false, false));
+    t.start(Trace.site(Trace.NO_QUOTA, false, false));
     t.list("11/1", "12/1", "13/1", "14/1", "15/1 cold");
     for (int i = 0; i < 200; i++) {
       t.arrive(i, REPLAYABLE, 1);
@@ -249,7 +249,7 @@
   /** A req every 2.5 s over six app srvs, one of which never answers: its record outlasts several turns. */
   @Test
   void remembersAtFewReqs() {
-    t.start(Trace.site(new Site.Plan(0, 0, 0, 0, 0, 1), false, false));
+    t.start(Trace.site(Trace.NO_QUOTA, false, false));
     t.list("11/1", "12/1", "13/1", "14/1", "15/1", "16/1");
     for (int i = 0; i < 60; i++) {
       int before = t.count("to 11 for");
@@ -266,7 +266,7 @@
   /** More out than passes within the target's part is denied at once, sooner for clients with little time left. */
   @Test
   void pressure() throws IOException {
-    t.start(Trace.site(new Site.Plan(0, 0, 0, 0, 0, 1), false, false));
+    t.start(Trace.site(Trace.NO_QUOTA, false, false));
     t.list("11/1", "12/1");
     t.pass(1_500);
     for (int i = 1; i <= 8; i++) {
@@ -278,7 +278,7 @@
     t.arrive(9, REPLAYABLE, 1);
     t.left = 30_000;
     t.arrive(10, REPLAYABLE, 1);
-    Trace many = new Trace(Trace.site(7, 200, new Site.Plan(0, 0, 0, 0, 0, 1), false, false));
+    Trace many = new Trace(Trace.site(7, 200, Trace.NO_QUOTA, false, false));
     many.list("11/1", "12/1");
     many.pass(1_500);
     for (int i = 1; i <= 8; i++) many.arrive(i, REPLAYABLE, 1);
@@ -289,7 +289,7 @@
   /** Dispatches stuck on one sick app srv do not use up what may be out beside it. */
   @Test
   void sickSrv() {
-    t.start(Trace.site(new Site.Plan(0, 0, 0, 0, 0, 1), false, false));
+    t.start(Trace.site(Trace.NO_QUOTA, false, false));
     t.list("11/1", "12/1");
     int stuck = 0;
     for (int i = 0; i < 400; i++) {
--- a/src/test/java/saltlatch/Trace.java
+++ b/src/test/java/saltlatch/Trace.java
@@ -20,6 +20,7 @@
 /** Plays events into one Control and prints what it does, a line an action; compared with a kept trace. */
 final class Trace implements Actions {
   static final Site.Plan FIRM = new Site.Plan(2, 6, 0, 0, 0, 1);
+  static final Site.Plan NO_QUOTA = new Site.Plan(0, 0, 0, 0, 0, 1);
   static final Site.Frontend REPLAYABLE = kind(Site.Effect.REPLAYABLE, Site.Group.ALL);
   static final Site.Frontend UNIQUED = kind(Site.Effect.UNIQUED, Site.Group.CELL);
   static final Site.Frontend ONCE = kind(Site.Effect.NON_REPLAYABLE, Site.Group.ALL);
