--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -290,10 +290,10 @@
     } else if (r != null) {
       decide(r, hasLocalRoom(r));
     }
-    // A timed-out add may have counted: it is taken as counted, and not as another node's when it shows in a
-    // total. What was turned away is owed again.
-    if (c.how() == Outcome.LATE) w.unsure += call.units();
-    else if (!answered) w.owed += call.units();
+    // A timed-out or broken add may have counted: it is taken as counted, and not as another node's when it
+    // shows in a total. What was turned away is owed again.
+    if (c.how().neverRan()) w.owed += call.units();
+    else if (!answered) w.unsure += call.units();
     if (r != null) {
       r.counting = false;
       w.owed += (r.admitted ? r.reserved : 0) - r.charged;
--- /dev/null
+++ b/src/main/java/saltlatch/node/Pilot.java
@@ -0,0 +1,326 @@
+package saltlatch.node;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import saltlatch.api.Actions;
+import saltlatch.api.Event;
+import saltlatch.api.Gateway;
+import saltlatch.state.Counters;
+import saltlatch.state.Exchange;
+import saltlatch.state.Exchanges;
+import saltlatch.state.Names;
+import saltlatch.state.Timers;
+import saltlatch.wire.Answer;
+import saltlatch.wire.AppServers;
+import saltlatch.wire.CounterClient;
+import saltlatch.wire.Desk;
+import saltlatch.wire.Discovery;
+import saltlatch.wire.Door;
+import saltlatch.wire.Ending;
+import saltlatch.wire.Peers;
+import saltlatch.wire.Request;
+import saltlatch.wire.TargetList;
+
+/**
+ * Makes the module's events of what the sockets bring, and does what the module wants. All of it runs on one event
+ * loop: what one turn of the loop brings goes to the module in one batch. It decides nothing.
+ */
+final class Pilot implements Actions, Desk, Door.Host, AppServers.Host, CounterClient.Host, Discovery.Host,
+    Peers.Host {
+  private static final Logger LOG = LoggerFactory.getLogger(Pilot.class);
+
+  private final Vertx vertx;
+  private final Context loop;
+  private final Station station;
+  private final Counters counters;
+  private final Clock clock = new Clock();
+  private final Timers timers = new Timers();
+  private final Exchanges exchanges;
+  private final Names frontends;
+  private final Names plans;
+  private final Names zones;
+  private final Names types;
+  private final Names srvs = new Names();
+  private final List<Integer> leaving = new ArrayList<>(); // app srvs off the list, with something still out
+  private List<Event> batch = new ArrayList<>();
+  private boolean scheduled;
+  private long armedFor = Long.MAX_VALUE;
+  private long armed;
+  private Gateway gateway;
+  private AppServers appServers;
+  private CounterClient counter;
+  private Discovery discovery;
+  private Peers peers;
+
+  Pilot(Vertx vertx, Context loop, Station station, Counters counters, long mostBytes) {
+    this.vertx = vertx;
+    this.loop = loop;
+    this.station = station;
+    this.counters = counters;
+    exchanges = new Exchanges(mostBytes);
+    frontends = new Names(station.frontends());
+    plans = new Names(station.plans());
+    zones = new Names(station.zones());
+    types = new Names(station.types());
+  }
+
+  /** Starts the module on the list last known; the sockets of the client side open as they are needed. */
+  void start(Gateway.Maker maker, int appLinks) {
+    appServers = new AppServers(vertx, this, this, counters, station.connectTime(), station.idleTime(), appLinks);
+    if (station.counter() != null) {
+      counter = new CounterClient(vertx, station.counter(), this, this, counters, station.countLimit());
+    }
+    discovery = new Discovery(vertx, station.discovery(), this, this, counters, station.known().index());
+    if (station.mayTell() && station.peerListen() != null) {
+      peers = new Peers(vertx, station.peerListen(), station.peers(), station.peersAll(), this, counters);
+    }
+    gateway = maker.start(clock.now(), station.site(), this);
+    add(listed(station.known(), Event.ListKind.CACHED));
+    if (!station.site().rules().mustFollow()) discovery.follow();
+  }
+
+  // ---- the clock and the timers
+
+  @Override
+  public long now() {
+    return clock.now();
+  }
+
+  @Override
+  public Timers.Timer at(long when, Runnable then) {
+    Timers.Timer t = timers.add(when, then);
+    arm();
+    return t;
+  }
+
+  private void arm() {
+    long next = timers.earliest();
+    if (next == Long.MAX_VALUE || next >= armedFor) return;
+    if (armedFor != Long.MAX_VALUE) vertx.cancelTimer(armed);
+    armedFor = next;
+    armed = vertx.setTimer(Math.max(1, (next - clock.now() + 9) / 10), id -> {
+      armedFor = Long.MAX_VALUE;
+      timers.run(clock.now());
+      arm();
+    });
+  }
+
+  // ---- events
+
+  private void add(Event e) {
+    batch.add(e);
+    if (scheduled) return;
+    scheduled = true;
+    loop.runOnContext(v -> flush());
+  }
+
+  private void flush() {
+    scheduled = false;
+    List<Event> events = batch;
+    batch = new ArrayList<>();
+    try {
+      gateway.handle(clock.now(), events);
+    } catch (RuntimeException e) {
+      LOG.error("the module failed", e);
+      counters.add("module_failed");
+      for (Event event : events) drop(event);
+    }
+  }
+
+  /** A req that the module failed on gets its final answer here, and the module is told that it is gone. */
+  private void drop(Event e) {
+    long rid = e instanceof Event.Arrived a ? a.rid() : e instanceof Event.Ended d ? d.rid()
+        : e instanceof Event.Due d ? d.handle() : -1;
+    Exchange x = exchanges.find(rid);
+    if (x == null || x.over()) return;
+    x.aborted();
+    left(x);
+  }
+
+  @Override
+  public Exchange arrived(Request req, Exchange.Client client) {
+    int frontend = frontends.find(req.frontend);
+    int plan = plans.find(req.plan);
+    counters.add("reqs");
+    if (frontend < 0 || plan < 0) {
+      counters.add("reqs_unknown");
+      client.aborted();
+      return null;
+    }
+    Exchange x = exchanges.open(req, client);
+    if (x == null) {
+      counters.add("reqs_over_limit");
+      client.denied(0);
+      return null;
+    }
+    add(new Event.Arrived(x.rid, frontend, plan, req.customer, req.waitMs * 10, req.units, req.width, req.first,
+        req.repeat));
+    return x;
+  }
+
+  @Override
+  public void left(Exchange x) {
+    x.left();
+    counters.add("clients_left");
+    add(new Event.ClientLeft(x.rid));
+    exchanges.release(x);
+  }
+
+  @Override
+  public void ended(Exchange x, int dispatch, int srv, Answer answer, long spent) {
+    if (answer.ending() == Ending.ANSWERED) x.passed(answer.value());
+    add(new Event.Ended(x.rid, srv, dispatch, answer.ending().outcome(), x.over(), spent, answer.actual(),
+        answer.fleetUse(), load(answer)));
+    exchanges.ended(x);
+    release();
+  }
+
+  @Override
+  public void probed(int srv, Answer answer, long spent) {
+    add(new Event.Probed(srv, answer.ending().outcome(), spent, load(answer)));
+    release();
+  }
+
+  private List<Double> load(Answer answer) {
+    if (answer.load().isEmpty()) return List.of();
+    List<Double> values = new ArrayList<>();
+    for (String field : station.loadFields()) values.add(Answer.field(answer.load(), field));
+    return values;
+  }
+
+  @Override
+  public void counted(long name, Ending ending, double total, long spent) {
+    add(new Event.Counted(name, ending.outcome(), total, spent));
+  }
+
+  @Override
+  public void listed(TargetList list) {
+    add(listed(list, list.whole() ? Event.ListKind.WHOLE : Event.ListKind.CHANGES));
+  }
+
+  @Override
+  public void listFailed() {
+    if (station.site().rules().mustFollow()) add(new Event.Listed(Event.ListKind.FAILED, List.of()));
+    else at(now() + 10_000, discovery::follow); // 1 s
+  }
+
+  private Event listed(TargetList list, Event.ListKind kind) {
+    List<Event.Entry> entries = new ArrayList<>();
+    List<Integer> named = new ArrayList<>();
+    for (TargetList.Target t : list.targets()) {
+      int srv = srvs.number(t.name());
+      named.add(srv);
+      leaving.remove((Integer) srv);
+      if (!t.address().isEmpty()) appServers.locate(srv, Station.address(t.address()));
+      Event.Condition condition = switch (t.status()) {
+        case READY -> Event.Condition.READY;
+        case TERMINATING -> Event.Condition.DRAINING;
+        case GONE -> Event.Condition.GONE;
+      };
+      if (condition == Event.Condition.GONE) leaving.add(srv);
+      entries.add(new Event.Entry(srv, t.sinceMs() * 10, Math.max(0, zones.find(t.zone())), t.group(), condition,
+          t.weight(), Math.max(0, types.find(t.type()))));
+    }
+    if (list.whole()) srvs.each(srv -> {
+      if (!named.contains(srv) && !leaving.contains(srv)) leaving.add(srv);
+    });
+    return new Event.Listed(kind, entries);
+  }
+
+  /** Gives the numbers free of app srvs that are gone and have nothing out any more. */
+  private void release() {
+    if (leaving.isEmpty()) return;
+    leaving.removeIf(srv -> {
+      boolean free = appServers.forget(srv);
+      if (free) srvs.release(srv);
+      return free;
+    });
+  }
+
+  @Override
+  public void heard(int from, byte[] words) {
+    add(new Event.Heard(from, words));
+  }
+
+  @Override
+  public String figures() {
+    return counters.text() + " held=" + exchanges.size();
+  }
+
+  // ---- actions
+
+  @Override
+  public void dispatch(long rid, long srv, long cap) {
+    Exchange x = exchanges.find(rid);
+    if (x == null) return;
+    appServers.dispatch(x, exchanges.begin(x), (int) srv, cap);
+  }
+
+  @Override
+  public void deny(long rid, long pause) {
+    Exchange x = exchanges.find(rid);
+    if (x == null) return;
+    x.denied(pause / 10);
+    exchanges.release(x);
+  }
+
+  @Override
+  public void abort(long rid) {
+    Exchange x = exchanges.find(rid);
+    if (x == null) return;
+    x.aborted();
+    exchanges.release(x);
+  }
+
+  @Override
+  public void cancel(long rid, int dispatch) {
+    Exchange x = exchanges.find(rid);
+    if (x != null) appServers.cancel(x, dispatch);
+  }
+
+  @Override
+  public void wake(long when, long handle) {
+    at(when, () -> add(new Event.Due(handle)));
+  }
+
+  @Override
+  public void probe(long srv) {
+    appServers.probe((int) srv, station.connectTime());
+  }
+
+  @Override
+  public void closeIdle(long srv) {
+    appServers.closeIdle((int) srv);
+  }
+
+  @Override
+  public void count(long name, double units, long keep) {
+    if (counter == null) add(new Event.Counted(name, Event.Outcome.NOT_SENT, 0, 0));
+    else counter.add(name, units, keep);
+  }
+
+  @Override
+  public void follow(boolean on) {
+    if (on) discovery.follow();
+    else discovery.stop();
+  }
+
+  @Override
+  public void fetchList() {
+    discovery.fetch();
+  }
+
+  @Override
+  public void tell(int peer, byte[] words) {
+    if (peers != null) peers.tell(peer, words);
+  }
+
+  @Override
+  public void note(String text) {
+    LOG.info(text);
+  }
+}
--- /dev/null
+++ b/src/main/java/saltlatch/node/Station.java
@@ -0,0 +1,68 @@
+package saltlatch.node;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import io.vertx.core.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import saltlatch.api.Site;
+import saltlatch.simhost.Reader;
+import saltlatch.wire.TargetList;
+
+/** Where this node stands and what it may use, decoded once from its configuration. Times are tenths of a ms. */
+record Station(String name, SocketAddress listen, SocketAddress discovery, SocketAddress counter,
+    SocketAddress peerListen, List<SocketAddress> peers, SocketAddress peersAll, int memoryMb, int descriptors,
+    long connectTime, long idleTime, long countLimit, boolean mayTell, List<String> loadFields, List<String> frontends,
+    List<String> plans, List<String> zones, List<String> types, TargetList known, Site site) {
+
+  static Station of(String text) {
+    JsonObject all = JsonParser.parseString(text).getAsJsonObject();
+    JsonObject settings = all.getAsJsonObject("settings");
+    JsonObject use = settings.getAsJsonObject("limits");
+    JsonObject family = settings.getAsJsonObject("familyInfo");
+    JsonObject limits = all.getAsJsonObject("limits");
+    List<SocketAddress> peers = new ArrayList<>();
+    if (all.has("peers")) {
+      for (JsonElement e : all.getAsJsonArray("peers")) peers.add(address(e.getAsString()));
+    }
+    List<String> fields = new ArrayList<>();
+    if (settings.has("report") && settings.getAsJsonObject("report").has("fields")) {
+      settings.getAsJsonObject("report").getAsJsonArray("fields").forEach(f -> fields.add(f.getAsString()));
+    }
+    return new Station(all.get("name").getAsString(), address(all, "listen"), address(all, "discovery"),
+        address(all, "counter"), address(all, "peer_listen"), peers, address(all, "peers_all"),
+        limits.get("memory_mb").getAsInt(), limits.get("sockets").getAsInt(),
+        time(use, "connectTimeout"), time(use, "connIdle"), time(family, "countLimit"),
+        use.has("mayTell") && use.get("mayTell").getAsBoolean(), fields, names(settings.getAsJsonArray("categories")),
+        names(settings.getAsJsonArray("contracts")), words(settings, "azs"), words(settings, "machineTypes"),
+        TargetList.of(all.getAsJsonObject("known")),
+        Reader.site(settings, Long.parseUnsignedLong(all.get("seed").getAsString(), 16)));
+  }
+
+  private static long time(JsonObject from, String key) {
+    return from != null && from.has(key) ? Math.round(from.get(key).getAsDouble() * 10) : 0;
+  }
+
+  private static List<String> names(JsonArray from) {
+    List<String> names = new ArrayList<>();
+    if (from != null) from.forEach(e -> names.add(e.getAsJsonObject().get("name").getAsString()));
+    return names;
+  }
+
+  private static List<String> words(JsonObject from, String key) {
+    List<String> words = new ArrayList<>();
+    if (from.has(key)) from.getAsJsonArray(key).forEach(e -> words.add(e.getAsString()));
+    return words;
+  }
+
+  private static SocketAddress address(JsonObject from, String key) {
+    return from.has(key) && !from.get(key).isJsonNull() ? address(from.get(key).getAsString()) : null;
+  }
+
+  static SocketAddress address(String text) {
+    int colon = text.lastIndexOf(':');
+    return SocketAddress.inetSocketAddress(Integer.parseInt(text.substring(colon + 1)), text.substring(0, colon));
+  }
+}
--- a/src/main/java/saltlatch/simhost/Reader.java
+++ b/src/main/java/saltlatch/simhost/Reader.java
@@ -7,12 +7,15 @@
 import java.util.List;
 import saltlatch.api.Site;
 
-/** Decodes the start message; unknown keys are passed over. */
-final class Reader {
+/** Decodes the settings, which the simulator's first message and a node's configuration hold; unknown keys are passed over. */
+public final class Reader {
   private Reader() {}
 
   static Site site(String text, long seed) {
-    JsonObject all = JsonParser.parseString(text).getAsJsonObject();
+    return site(JsonParser.parseString(text).getAsJsonObject(), seed);
+  }
+
+  public static Site site(JsonObject all, long seed) {
     JsonObject limits = part(all, "limits");
     JsonObject guard = part(all, "contract");
     JsonObject family = part(all, "familyInfo");
--- /dev/null
+++ b/src/main/java/saltlatch/state/Exchanges.java
@@ -0,0 +1,48 @@
+package saltlatch.state;
+
+import java.util.HashMap;
+import java.util.Map;
+import saltlatch.wire.Request;
+
+/** The reqs that are not over or have a dispatch out, by the number each got at the door. */
+public final class Exchanges {
+  private final Map<Long, Exchange> all = new HashMap<>();
+  private final long mostBytes;
+  private long bytes;
+  private long next;
+
+  public Exchanges(long mostBytes) {
+    this.mostBytes = mostBytes;
+  }
+
+  /** Null when no more can be held. */
+  public Exchange open(Request req, Exchange.Client client) {
+    if (bytes + req.size() > mostBytes) return null;
+    Exchange x = new Exchange(next++, req, client);
+    bytes += req.size();
+    all.put(x.rid, x);
+    return x;
+  }
+
+  public Exchange find(long rid) {
+    return all.get(rid);
+  }
+
+  public int begin(Exchange x) {
+    return x.begin();
+  }
+
+  public void ended(Exchange x) {
+    x.ended();
+    release(x);
+  }
+
+  /** Forgets it once it is over and nothing of it is out. */
+  public void release(Exchange x) {
+    if (x.idle() && all.remove(x.rid) != null) bytes -= x.req.size();
+  }
+
+  public int size() {
+    return all.size();
+  }
+}
--- /dev/null
+++ b/src/main/java/saltlatch/wire/Answer.java
@@ -0,0 +1,55 @@
+package saltlatch.wire;
+
+import io.vertx.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** What an app srv answered, decoded once; {@code value} only with {@link Ending#ANSWERED}. */
+public record Answer(Ending ending, byte[] value, double actual, double fleetUse, String load) {
+
+  static Answer of(Resp resp) {
+    if (resp instanceof Resp.Many m && m.items() != null && !m.items().isEmpty()
+        && m.items().get(0) instanceof Resp.Bulk b && b.bytes() != null) {
+      String use = text(m.items(), 1);
+      return new Answer(Ending.ANSWERED, b.bytes(), field(use, "cost"), field(use, "used"), text(m.items(), 2));
+    }
+    if (resp instanceof Resp.Line l && l.type() == '-') {
+      int last = l.text().lastIndexOf(' ');
+      String load = last >= 0 && l.text().indexOf('=', last) > 0 ? l.text().substring(last + 1) : "";
+      return new Answer(l.text().startsWith("BUSY") ? Ending.BUSY_ANSWER : Ending.ERROR_ANSWER, null, 0, 0, load);
+    }
+    return new Answer(Ending.ERROR_ANSWER, null, 0, 0, "");
+  }
+
+  static Answer none(Ending ending) {
+    return new Answer(ending, null, 0, 0, "");
+  }
+
+  /** A field of a list of names and values; 0 if it is not there. */
+  public static double field(String list, String name) {
+    for (String part : list.isEmpty() ? new String[0] : list.split(",")) {
+      if (part.startsWith(name) && part.length() > name.length() && part.charAt(name.length()) == '=') {
+        try {
+          return Double.parseDouble(part.substring(name.length() + 1));
+        } catch (NumberFormatException e) {
+          return 0;
+        }
+      }
+    }
+    return 0;
+  }
+
+  private static String text(List<Resp> items, int at) {
+    return items.size() > at && items.get(at) instanceof Resp.Bulk b ? b.text() : "";
+  }
+
+  static Buffer passed(byte[] value) {
+    Buffer out = Buffer.buffer(value.length + 16);
+    Request.bulk(out, value);
+    return out;
+  }
+
+  static Buffer line(String text) {
+    return Buffer.buffer((text + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+  }
+}
--- /dev/null
+++ b/src/main/java/saltlatch/wire/AppLink.java
@@ -0,0 +1,107 @@
+package saltlatch.wire;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
+import saltlatch.state.Exchange;
+import saltlatch.state.Timers;
+
+/** One connection to an app srv, with at most one dispatch (or probe) out on it. */
+final class AppLink {
+  final int srv;
+  private final AppServers owner;
+  private final RespReader in = new RespReader();
+  private NetSocket socket;
+  private boolean closed;
+  private boolean out;
+  private boolean written;
+  private Buffer unsent;
+  private Exchange x; // null: a probe
+  private int dispatch;
+  private long sent;
+  private Timers.Timer limit;
+
+  AppLink(AppServers owner, int srv) {
+    this.owner = owner;
+    this.srv = srv;
+  }
+
+  void open(NetClient client, SocketAddress address) {
+    client.connect(address).onComplete(done -> {
+      if (done.failed()) {
+        end(Answer.none(Ending.CONNECT_FAILED));
+        return;
+      }
+      socket = done.result();
+      if (closed) {
+        socket.close();
+        return;
+      }
+      socket.handler(this::read);
+      socket.exceptionHandler(e -> owner.counters().add("connections_broken"));
+      socket.closeHandler(v -> end(Answer.none(written ? Ending.BROKE_WRITTEN : Ending.BROKE_UNWRITTEN)));
+      write();
+    });
+  }
+
+  void send(Buffer command, Exchange x, int dispatch, long cap) {
+    this.x = x;
+    this.dispatch = dispatch;
+    out = true;
+    written = false;
+    unsent = command;
+    sent = owner.desk().now();
+    limit = owner.desk().at(sent + cap,
+        () -> end(Answer.none(written ? Ending.TIMED_OUT : Ending.TIMED_OUT_UNWRITTEN)));
+    if (socket != null) write();
+  }
+
+  boolean carries(Exchange x, int dispatch) {
+    return out && this.x == x && this.dispatch == dispatch;
+  }
+
+  private void write() {
+    Buffer command = unsent;
+    unsent = null;
+    if (command != null) {
+      socket.write(command).onSuccess(v -> written = true);
+    }
+  }
+
+  private void read(Buffer more) {
+    if (closed) return;
+    in.feed(more);
+    try {
+      Resp resp = in.next();
+      if (resp == null) return;
+      if (!out) throw new RespReader.Lost("an answer that nothing asked for");
+      Answer answer = Answer.of(resp);
+      finish(true, answer);
+    } catch (RespReader.Lost e) {
+      end(Answer.none(Ending.ERROR_ANSWER));
+    }
+  }
+
+  /** Ends the connection and what is out on it. */
+  void end(Answer answer) {
+    if (closed) return;
+    close();
+    if (out) finish(false, answer);
+  }
+
+  void close() {
+    if (closed) return;
+    closed = true;
+    if (socket != null) socket.close();
+    owner.gone(this);
+  }
+
+  private void finish(boolean open, Answer answer) {
+    Exchange was = x;
+    out = false;
+    x = null;
+    limit.drop();
+    owner.ended(this, open, was, dispatch, answer, owner.desk().now() - sent);
+  }
+}
--- /dev/null
+++ b/src/main/java/saltlatch/wire/AppServers.java
@@ -0,0 +1,163 @@
+package saltlatch.wire;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import saltlatch.state.Counters;
+import saltlatch.state.Exchange;
+import saltlatch.state.Pool;
+
+/**
+ * The client side towards app srvs. A connection carries one dispatch at a time, since giving one up ends its
+ * connection, and an answer must not wait for another's; it is used again once its dispatch was answered.
+ */
+public final class AppServers {
+  /** Whom the ends of dispatches are told to. */
+  public interface Host {
+    void ended(Exchange x, int dispatch, int srv, Answer answer, long spent);
+
+    void probed(int srv, Answer answer, long spent);
+  }
+
+  /** An app srv that the list names. */
+  private static final class Srv {
+    private SocketAddress address;
+    private final Pool<AppLink> pool = new Pool<>();
+    private final List<AppLink> busy = new ArrayList<>();
+  }
+
+  private static final long SWEEP = 5_000; // 0.5 s between looks for idle connections
+
+  private final NetClient client;
+  private final Desk desk;
+  private final Host host;
+  private final Counters counters;
+  private final Map<Integer, Srv> srvs = new HashMap<>();
+  private final long idleTime;
+  private final int mostLinks;
+  private int links;
+
+  /** {@code idleTime}: an app srv closes a connection that has stood idle for so long. */
+  public AppServers(Vertx vertx, Desk desk, Host host, Counters counters, long connectTime, long idleTime,
+      int mostLinks) {
+    this.desk = desk;
+    this.host = host;
+    this.counters = counters;
+    this.mostLinks = mostLinks;
+    this.idleTime = Math.max(idleTime / 2, idleTime - 4 * SWEEP); // before the other side does
+    client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true).setTcpKeepAlive(false)
+        .setConnectTimeout((int) Math.max(1, connectTime / 10)).setReconnectAttempts(0));
+    sweep();
+  }
+
+  /** The address at which a listed app srv is reached from here. */
+  public void locate(int srv, SocketAddress address) {
+    Srv s = srvs.computeIfAbsent(srv, k -> new Srv());
+    if (s.address != null && !s.address.equals(address)) closeIdle(srv);
+    s.address = address;
+  }
+
+  /** True if nothing is held there, so that its number can be given to another. */
+  public boolean forget(int srv) {
+    Srv s = srvs.get(srv);
+    if (s == null) return true;
+    closeIdle(srv);
+    if (!s.busy.isEmpty()) return false;
+    srvs.remove(srv);
+    return true;
+  }
+
+  public void dispatch(Exchange x, int dispatch, int srv, long cap) {
+    counters.add("dispatched");
+    AppLink link = link(srv);
+    if (link == null) {
+      host.ended(x, dispatch, srv, Answer.none(Ending.NO_DESCRIPTOR), 0);
+      return;
+    }
+    link.send(x.req.forward(cap / 10), x, dispatch, cap);
+  }
+
+  public void probe(int srv, long cap) {
+    counters.add("probed");
+    AppLink link = link(srv);
+    if (link == null) host.probed(srv, Answer.none(Ending.NO_DESCRIPTOR), 0);
+    else link.send(Buffer.buffer("*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n"), null, 0, cap);
+  }
+
+  public void cancel(Exchange x, int dispatch) {
+    for (Srv s : srvs.values()) {
+      for (AppLink link : s.busy) {
+        if (link.carries(x, dispatch)) {
+          link.end(Answer.none(Ending.OWN_CANCEL));
+          return;
+        }
+      }
+    }
+  }
+
+  public void closeIdle(int srv) {
+    Srv s = srvs.get(srv);
+    if (s != null) s.pool.takeOlder(Long.MAX_VALUE).forEach(AppLink::close);
+  }
+
+  private AppLink link(int srv) {
+    Srv s = srvs.get(srv);
+    if (s == null) return null;
+    AppLink link = s.pool.take();
+    if (link == null) {
+      if (links >= mostLinks && !closeOldest()) return null;
+      links++;
+      counters.add("connections_opened");
+      link = new AppLink(this, srv);
+      link.open(client, s.address);
+    }
+    s.busy.add(link);
+    return link;
+  }
+
+  private boolean closeOldest() {
+    Srv oldest = null;
+    for (Srv s : srvs.values()) {
+      if (oldest == null || s.pool.oldest() < oldest.pool.oldest()) oldest = s;
+    }
+    if (oldest == null || oldest.pool.oldest() == Long.MAX_VALUE) return false;
+    oldest.pool.takeOlder(oldest.pool.oldest() + 1).forEach(AppLink::close);
+    return true;
+  }
+
+  private void sweep() {
+    for (Srv s : srvs.values()) s.pool.takeOlder(desk.now() - idleTime).forEach(AppLink::close);
+    desk.at(desk.now() + SWEEP, this::sweep);
+  }
+
+  Desk desk() {
+    return desk;
+  }
+
+  Counters counters() {
+    return counters;
+  }
+
+  /** A dispatch or probe has ended on this connection, which may be used again or is gone. */
+  void ended(AppLink link, boolean open, Exchange x, int dispatch, Answer answer, long spent) {
+    Srv s = srvs.get(link.srv);
+    s.busy.remove(link);
+    if (open) s.pool.put(link, desk.now());
+    counters.add("dispatch_" + answer.ending().name().toLowerCase(Locale.ROOT));
+    if (x == null) host.probed(link.srv, answer, spent);
+    else host.ended(x, dispatch, link.srv, answer, spent);
+  }
+
+  void gone(AppLink link) {
+    links--;
+    Srv s = srvs.get(link.srv);
+    if (s != null) s.pool.remove(link);
+  }
+}
--- /dev/null
+++ b/src/main/java/saltlatch/wire/ClientLink.java
@@ -0,0 +1,142 @@
+package saltlatch.wire;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import saltlatch.state.Exchange;
+
+/** One client's connection. Commands are handed on as they come; answers go out in the order of the commands. */
+final class ClientLink {
+  private static final int MOST_OWED = 256; // commands without answer on a connection before reading stops
+
+  /** The place of one command's answer in the order. */
+  private final class Place implements Exchange.Client {
+    private Exchange x;
+    private Buffer answer;
+
+    @Override
+    public void passed(byte[] value) {
+      door.counters().add("answered_passed");
+      fill(Answer.passed(value));
+    }
+
+    @Override
+    public void denied(long pauseMs) {
+      door.counters().add("answered_denied");
+      fill(Answer.line(pauseMs > 0 ? "-BUSY " + pauseMs : "-BUSY"));
+    }
+
+    @Override
+    public void aborted() {
+      door.counters().add("answered_aborted");
+      fill(Answer.line("-ERR aborted"));
+    }
+
+    private void fill(Buffer text) {
+      answer = text;
+      flush();
+    }
+  }
+
+  private final Door door;
+  private final NetSocket socket;
+  private final RespReader in = new RespReader();
+  private final ArrayDeque<Place> owed = new ArrayDeque<>();
+  private boolean broken; // its framing is lost: nothing more is read
+  private boolean closed;
+
+  ClientLink(Door door, NetSocket socket) {
+    this.door = door;
+    this.socket = socket;
+    socket.handler(this::read);
+    socket.exceptionHandler(e -> door.counters().add("clients_broken"));
+    socket.closeHandler(v -> ended());
+    socket.drainHandler(v -> resume());
+  }
+
+  boolean owesNothing() {
+    return owed.isEmpty();
+  }
+
+  void close() {
+    closed = true;
+    socket.close();
+  }
+
+  void closeIfDone() {
+    if (!closed && owed.isEmpty()) close();
+  }
+
+  private void read(Buffer more) {
+    if (broken || closed) return;
+    in.feed(more);
+    try {
+      for (Resp command = in.next(); command != null && !closed; command = in.next()) take(command);
+    } catch (RespReader.Lost e) {
+      door.counters().add("commands_lost_framing");
+      broken = true;
+      say("-ERR Protocol error: " + e.getMessage());
+    }
+    if (owed.size() >= MOST_OWED) socket.pause();
+  }
+
+  private void take(Resp command) throws RespReader.Lost {
+    if (!(command instanceof Resp.Many m)) throw new RespReader.Lost("a command is an array");
+    List<Resp> words = m.items() == null ? List.of() : m.items();
+    String verb = !words.isEmpty() && words.get(0) instanceof Resp.Bulk b ? b.text() : "";
+    if (verb.startsWith("SVC.")) {
+      serve(Request.of(words));
+    } else if (verb.equalsIgnoreCase("PING")) {
+      say(door.isReady() ? "+PONG" : "-ERR not ready");
+    } else if (verb.equalsIgnoreCase("INFO")) {
+      place().fill(Answer.passed(door.host().figures().getBytes(java.nio.charset.StandardCharsets.ISO_8859_1)));
+    } else {
+      door.counters().add("commands_unknown");
+      say("-ERR unknown command");
+    }
+  }
+
+  private void serve(Request req) {
+    if (req == null) {
+      door.counters().add("commands_malformed");
+      say("-ERR malformed command");
+      return;
+    }
+    Place place = place();
+    place.x = door.host().arrived(req, place);
+    if (place.x == null) place.denied(0);
+  }
+
+  private Place place() {
+    Place place = new Place();
+    owed.add(place);
+    return place;
+  }
+
+  private void say(String line) {
+    place().fill(Answer.line(line));
+  }
+
+  private void flush() {
+    if (closed) return;
+    while (!owed.isEmpty() && owed.peek().answer != null) socket.write(owed.poll().answer);
+    resume();
+    if (owed.isEmpty() && (broken || door.isClosing())) close();
+  }
+
+  private void resume() {
+    if (!broken && owed.size() < MOST_OWED && !socket.writeQueueFull()) socket.resume();
+    else if (socket.writeQueueFull()) socket.pause();
+  }
+
+  private void ended() {
+    closed = true;
+    door.gone(this);
+    for (Place place : new ArrayList<>(owed)) {
+      if (place.x != null && place.answer == null) door.host().left(place.x);
+    }
+    owed.clear();
+  }
+}
--- /dev/null
+++ b/src/main/java/saltlatch/wire/CounterClient.java
@@ -0,0 +1,178 @@
+package saltlatch.wire;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import saltlatch.state.Counters;
+import saltlatch.state.Timers;
+
+/** The client side towards the counter. A name's calls go over one connection, so that they are answered in order. */
+public final class CounterClient {
+  /** Whom the ends of calls are told to. */
+  public interface Host {
+    void counted(long name, Ending ending, double total, long spent);
+  }
+
+  private static final int LINKS = 8; // of the 32 that the counter holds: names on its busy parts hold up few others
+  private static final long IDLE = 40_000; // 4 s: the counter closes idle connections after 10 s or less
+  private static final long SWEEP = 10_000; // 1 s between looks for idle ones
+  private static final int LONGEST_LINE = 256; // bytes of an answer
+  private static final long STUCK = 10; // time limits without any answer after which a connection is given up
+
+  /** One call; its place in the order of answers stays after it has timed out. */
+  private static final class Call {
+    private long name;
+    private long sent;
+    private boolean written;
+    private boolean told;
+    private Timers.Timer limit;
+    private Buffer text;
+  }
+
+  private final NetClient client;
+  private final SocketAddress address;
+  private final Desk desk;
+  private final Host host;
+  private final Counters counters;
+  private final long limit;
+  private final Link[] links = new Link[LINKS];
+
+  public CounterClient(Vertx vertx, SocketAddress address, Desk desk, Host host, Counters counters, long limit) {
+    this.address = address;
+    this.desk = desk;
+    this.host = host;
+    this.counters = counters;
+    this.limit = limit;
+    client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true).setTcpKeepAlive(false)
+        .setConnectTimeout((int) Math.max(100, limit)).setReconnectAttempts(0)); // ten limits
+    sweep();
+  }
+
+  public void add(long name, double units, long keep) {
+    counters.add("counted");
+    int at = (int) Math.floorMod(name ^ name >>> 31, (long) LINKS);
+    Link link = links[at];
+    if (link != null && link.isStuck()) link.end();
+    if (links[at] == null) links[at] = new Link(at);
+    links[at].call(name, "bump " + Long.toHexString(name) + " " + decimal(units) + " " + Math.max(1, keep / 10) + "\r\n");
+  }
+
+  /** Plain decimal, four places: totals come to seven digits. */
+  static String decimal(double units) {
+    long scaled = Math.round(Math.abs(units) * 10_000);
+    String sign = units < 0 && scaled > 0 ? "-" : "";
+    long rest = scaled % 10_000;
+    return sign + scaled / 10_000 + (rest == 0 ? "" : "." + Long.toString(10_000 + rest).substring(1));
+  }
+
+  private void sweep() {
+    for (Link link : links) {
+      if (link != null && (link.calls.isEmpty() && desk.now() - link.usedAt > IDLE || link.isStuck())) link.end();
+    }
+    desk.at(desk.now() + SWEEP, this::sweep);
+  }
+
+  private final class Link {
+    private final int at;
+    private final ArrayDeque<Call> calls = new ArrayDeque<>();
+    private NetSocket socket;
+    private long usedAt;
+    private boolean closed;
+    private byte[] line = new byte[LONGEST_LINE];
+    private int length;
+
+    Link(int at) {
+      this.at = at;
+      usedAt = desk.now();
+      client.connect(address).onComplete(done -> {
+        if (done.failed()) {
+          end();
+          return;
+        }
+        socket = done.result();
+        if (closed) {
+          socket.close();
+          return;
+        }
+        socket.handler(this::read);
+        socket.exceptionHandler(e -> counters.add("counter_broken"));
+        socket.closeHandler(v -> end());
+        for (Call c : calls) write(c);
+      });
+    }
+
+    /** Its oldest call is long overdue: the counter has gone silent, or this connection has. */
+    boolean isStuck() {
+      return !calls.isEmpty() && desk.now() - calls.peek().sent > STUCK * limit;
+    }
+
+    void call(long name, String text) {
+      Call c = new Call();
+      c.name = name;
+      c.sent = desk.now();
+      c.text = Buffer.buffer(text);
+      c.limit = desk.at(c.sent + limit, () -> tell(c, c.written ? Ending.TIMED_OUT : Ending.TIMED_OUT_UNWRITTEN, 0));
+      calls.add(c);
+      usedAt = c.sent;
+      if (socket != null) write(c);
+    }
+
+    private void write(Call c) {
+      if (c.told) return; // timed out before the connection came up: never sent
+      c.written = true; // from here on it may be added
+      socket.write(c.text);
+      c.text = null;
+    }
+
+    private void read(Buffer more) {
+      for (int i = 0; i < more.length() && !closed; i++) {
+        byte b = more.getByte(i);
+        if (b == '\n') {
+          answer(new String(line, 0, length, StandardCharsets.ISO_8859_1).trim());
+          length = 0;
+        } else if (length < line.length) {
+          line[length++] = b;
+        } else {
+          end();
+        }
+      }
+    }
+
+    private void answer(String text) {
+      while (!calls.isEmpty() && !calls.peek().written) calls.poll(); // never sent: no answer comes
+      Call c = calls.poll();
+      if (c == null) {
+        end();
+      } else if (text.startsWith("ok ")) {
+        try {
+          tell(c, Ending.ANSWERED, Double.parseDouble(text.substring(3)));
+        } catch (NumberFormatException e) {
+          tell(c, Ending.BROKE_WRITTEN, 0);
+        }
+      } else {
+        tell(c, text.equals("busy") ? Ending.BUSY_ANSWER : Ending.REFUSED_CALL, 0);
+      }
+    }
+
+    private void tell(Call c, Ending ending, double total) {
+      if (c.told) return;
+      c.told = true;
+      c.limit.drop();
+      counters.add("count_" + ending.name().toLowerCase(java.util.Locale.ROOT));
+      host.counted(c.name, ending, total, desk.now() - c.sent);
+    }
+
+    void end() {
+      if (closed) return;
+      closed = true;
+      links[at] = null;
+      if (socket != null) socket.close();
+      for (Call c : calls) tell(c, c.written ? Ending.BROKE_WRITTEN : Ending.CONNECT_FAILED, 0);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/saltlatch/wire/Door.java
@@ -0,0 +1,99 @@
+package saltlatch.wire;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import saltlatch.state.Counters;
+import saltlatch.state.Exchange;
+
+/** The server side: clients' connections, their commands in and the answers out. */
+public final class Door {
+  /** Whom reqs are handed to. */
+  public interface Host {
+    /** Null when no more can be held. */
+    Exchange arrived(Request req, Exchange.Client client);
+
+    void left(Exchange x);
+
+    /** Text for the command INFO. */
+    String figures();
+  }
+
+  private final Host host;
+  private final Counters counters;
+  private final NetServer server;
+  private final int mostLinks;
+  private final Set<ClientLink> links = new LinkedHashSet<>();
+  private boolean ready;
+  private boolean closing;
+
+  public Door(Vertx vertx, Host host, Counters counters, int mostLinks) {
+    this.host = host;
+    this.counters = counters;
+    this.mostLinks = mostLinks;
+    server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true)
+        .setAcceptBacklog(Math.max(64, mostLinks)));
+    server.connectHandler(this::accept);
+    server.exceptionHandler(e -> counters.add("clients_broken"));
+  }
+
+  public Future<?> open(SocketAddress at) {
+    return server.listen(at);
+  }
+
+  /** From now on PING is answered with PONG. */
+  public void ready() {
+    ready = true;
+  }
+
+  /** Ends connections from now on as soon as nothing is owed on them. */
+  public void closeWhenIdle() {
+    closing = true;
+    new ArrayList<>(links).forEach(ClientLink::closeIfDone);
+  }
+
+  public int open() {
+    return links.size();
+  }
+
+  boolean isReady() {
+    return ready;
+  }
+
+  boolean isClosing() {
+    return closing;
+  }
+
+  Host host() {
+    return host;
+  }
+
+  Counters counters() {
+    return counters;
+  }
+
+  void gone(ClientLink link) {
+    links.remove(link);
+  }
+
+  private void accept(NetSocket socket) {
+    counters.add("clients_accepted");
+    if (links.size() >= mostLinks) {
+      counters.add("clients_over_limit");
+      // The one that has owed nothing for longest makes room: its client sends on a new connection.
+      ClientLink idle = links.stream().filter(ClientLink::owesNothing).findFirst().orElse(null);
+      if (idle == null) {
+        socket.close();
+        return;
+      }
+      idle.close();
+    }
+    links.add(new ClientLink(this, socket));
+  }
+}
--- /dev/null
+++ b/src/main/java/saltlatch/wire/Peers.java
@@ -0,0 +1,49 @@
+package saltlatch.wire;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.datagram.DatagramSocket;
+import io.vertx.core.datagram.DatagramSocketOptions;
+import io.vertx.core.net.SocketAddress;
+import java.util.List;
+import saltlatch.state.Counters;
+
+/** Datagrams between edge nodes. */
+public final class Peers {
+  /** Whom datagrams are told to. */
+  public interface Host {
+    void heard(int from, byte[] words);
+  }
+
+  private static final int LONGEST = 256; // bytes; a longer one voids the run
+
+  private final DatagramSocket socket;
+  private final List<SocketAddress> peers;
+  private final SocketAddress all;
+  private final Counters counters;
+
+  public Peers(Vertx vertx, SocketAddress listen, List<SocketAddress> peers, SocketAddress all, Host host,
+      Counters counters) {
+    this.peers = peers;
+    this.all = all;
+    this.counters = counters;
+    socket = vertx.createDatagramSocket(new DatagramSocketOptions());
+    socket.exceptionHandler(e -> counters.add("peers_failed"));
+    socket.handler(packet -> {
+      counters.add("peers_heard");
+      host.heard(peers.indexOf(packet.sender()), packet.data().getBytes());
+    });
+    socket.listen(listen.port(), listen.host()).onFailure(e -> counters.add("peers_failed"));
+  }
+
+  /** {@code peer} below 0: all of them. */
+  public void tell(int peer, byte[] words) {
+    SocketAddress to = peer < 0 ? all : peer < peers.size() ? peers.get(peer) : null;
+    if (to == null || words.length > LONGEST) {
+      counters.add("peers_failed");
+      return;
+    }
+    counters.add("peers_told");
+    socket.send(Buffer.buffer(words), to.port(), to.host()).onFailure(e -> counters.add("peers_failed"));
+  }
+}
--- /dev/null
+++ b/src/main/java/saltlatch/wire/Request.java
@@ -0,0 +1,124 @@
+package saltlatch.wire;
+
+import io.vertx.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** A client's command, decoded once; it is passed on with another {@code d} and otherwise as it came. */
+public final class Request {
+  private static final int LONGEST_TERMS = 1024; // bytes; with more it is no command of ours
+
+  public final long customer;
+  public final String frontend;
+  public final String plan;
+  public final long waitMs;
+  public final double units;
+  public final int width;
+  public final int first;
+  public final boolean repeat;
+  private final byte[] verb;
+  private final byte[] customerText;
+  private final byte[] id;
+  private final byte[] termsBefore; // the d's value
+  private final byte[] termsAfter;
+  private final byte[] body; // null: none
+
+  /** Null if the command is not one of ours or is malformed. */
+  static Request of(List<Resp> words) {
+    try {
+      return new Request(words);
+    } catch (IllegalArgumentException e) {
+      return null;
+    }
+  }
+
+  private Request(List<Resp> words) {
+    must(words.size() == 4 || words.size() == 5);
+    for (Resp w : words) must(w instanceof Resp.Bulk b && b.bytes() != null);
+    verb = bytes(words, 0);
+    customerText = bytes(words, 1);
+    id = bytes(words, 2);
+    body = words.size() > 4 ? bytes(words, 4) : null;
+    String verbText = new String(verb, StandardCharsets.ISO_8859_1);
+    must(verbText.equals("SVC.QUERY") || verbText.equals("SVC.SUBMIT"));
+    must(customerText.length == 16 && id.length > 0 && id.length <= 64);
+    customer = Long.parseUnsignedLong(new String(customerText, StandardCharsets.ISO_8859_1), 16);
+    must(customer >= 0 && customer < 1L << 33);
+    String terms = new String(bytes(words, 3), StandardCharsets.ISO_8859_1);
+    must(terms.length() <= LONGEST_TERMS);
+    String frontend = null;
+    String plan = null;
+    long wait = -1;
+    double units = 1;
+    int width = 0;
+    int first = 0;
+    boolean repeat = false;
+    int cut = 0;
+    int cutEnd = 0;
+    for (int at = 0; at < terms.length(); ) {
+      int end = terms.indexOf(',', at);
+      end = end < 0 ? terms.length() : end;
+      int is = terms.indexOf('=', at);
+      must(is > at && is < end);
+      String value = terms.substring(is + 1, end);
+      switch (terms.substring(at, is)) {
+        case "c" -> frontend = value;
+        case "t" -> plan = value;
+        case "d" -> {
+          wait = Long.parseLong(value);
+          cut = is + 1;
+          cutEnd = end;
+        }
+        case "r" -> repeat = value.equals("1");
+        case "units" -> units = Double.parseDouble(value);
+        case "spread" -> width = Integer.parseInt(value);
+        case "first" -> first = Integer.parseInt(value);
+        default -> { }
+      }
+      at = end + 1;
+    }
+    must(frontend != null && plan != null && wait >= 0 && wait < 1L << 31);
+    must(units >= 0 && units < 1e9 && width >= 0 && first >= 0);
+    this.frontend = frontend;
+    this.plan = plan;
+    this.units = units;
+    this.width = width;
+    this.first = first;
+    this.repeat = repeat;
+    waitMs = wait;
+    termsBefore = terms.substring(0, cut).getBytes(StandardCharsets.ISO_8859_1);
+    termsAfter = terms.substring(cutEnd).getBytes(StandardCharsets.ISO_8859_1);
+  }
+
+  /** The command for an app srv, which is to know how long this node waits. */
+  Buffer forward(long waitMs) {
+    byte[] wait = Long.toString(Math.max(1, waitMs)).getBytes(StandardCharsets.ISO_8859_1);
+    Buffer out = Buffer.buffer(160 + size());
+    out.appendString(body == null ? "*4\r\n" : "*5\r\n");
+    bulk(out, verb);
+    bulk(out, customerText);
+    bulk(out, id);
+    out.appendString("$" + (termsBefore.length + wait.length + termsAfter.length) + "\r\n");
+    out.appendBytes(termsBefore).appendBytes(wait).appendBytes(termsAfter).appendString("\r\n");
+    if (body != null) bulk(out, body);
+    return out;
+  }
+
+  /** Bytes that it holds in memory. */
+  public int size() {
+    return verb.length + customerText.length + id.length + termsBefore.length + termsAfter.length
+        + (body == null ? 0 : body.length);
+  }
+
+  static void bulk(Buffer out, byte[] bytes) {
+    out.appendString("$" + bytes.length + "\r\n").appendBytes(bytes).appendString("\r\n");
+  }
+
+  private static byte[] bytes(List<Resp> words, int at) {
+    return ((Resp.Bulk) words.get(at)).bytes();
+  }
+
+  private static void must(boolean holds) {
+    if (!holds) throw new IllegalArgumentException();
+  }
+}
--- /dev/null
+++ b/src/main/java/saltlatch/wire/RespReader.java
@@ -0,0 +1,119 @@
+package saltlatch.wire;
+
+import io.vertx.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/** Cuts a byte stream into RESP2 values. After {@link Lost} the stream has no place to go on from. */
+final class RespReader {
+  static final int LONGEST_VALUE = 64 * 1024; // bytes, as the protocol page says
+  private static final int LONGEST_LINE = 1024; // bytes of a line: far over any error text or number
+  private static final int MOST_ITEMS = 16; // of an array: commands have five at most, answers three
+  private static final int DEEPEST = 2; // arrays within arrays that make sense here
+  private static final int LONGEST = LONGEST_VALUE + 8 * LONGEST_LINE; // bytes of a whole message
+
+  /** The framing is lost, or a message is too long. */
+  static final class Lost extends Exception {
+    private static final long serialVersionUID = 1;
+
+    Lost(String why) {
+      super(why, null, false, false);
+    }
+  }
+
+  private byte[] data = new byte[512];
+  private int from;
+  private int to;
+  private int at;
+  private boolean whole;
+
+  void feed(Buffer more) {
+    int size = more.length();
+    if (from == to) from = to = 0;
+    if (to + size > data.length) {
+      byte[] target = to - from + size > data.length ? new byte[Math.max(2 * data.length, to - from + size)] : data;
+      System.arraycopy(data, from, target, 0, to - from);
+      data = target;
+      to -= from;
+      from = 0;
+    }
+    more.getBytes(data, to);
+    to += size;
+  }
+
+  /** The next whole value; null while it has not all come. */
+  Resp next() throws Lost {
+    at = from;
+    whole = true;
+    Resp value = from == to ? null : value(0);
+    if (value == null || !whole) {
+      if (to - from > LONGEST) throw new Lost("message too long");
+      return null;
+    }
+    from = at;
+    if (from == to && data.length > LONGEST_LINE * 4) data = new byte[512]; // a long one came; idle ones stay small
+    return value;
+  }
+
+  private Resp value(int depth) throws Lost {
+    String line = line();
+    if (line == null) return null;
+    char type = line.isEmpty() ? 0 : line.charAt(0);
+    String rest = line.isEmpty() ? "" : line.substring(1);
+    return switch (type) {
+      case '+', '-', ':' -> new Resp.Line(type, rest);
+      case '$' -> bulk(number(rest, LONGEST_VALUE));
+      case '*' -> many(number(rest, MOST_ITEMS), depth);
+      default -> throw new Lost("no RESP2 value");
+    };
+  }
+
+  private Resp bulk(int size) throws Lost {
+    if (size < 0) return new Resp.Bulk(null);
+    if (to - at < size + 2) {
+      whole = false;
+      return null;
+    }
+    if (data[at + size] != '\r' || data[at + size + 1] != '\n') throw new Lost("bulk string without its end");
+    byte[] bytes = Arrays.copyOfRange(data, at, at + size);
+    at += size + 2;
+    return new Resp.Bulk(bytes);
+  }
+
+  private Resp many(int count, int depth) throws Lost {
+    if (count < 0) return new Resp.Many(null);
+    if (depth >= DEEPEST) throw new Lost("arrays too deep");
+    List<Resp> items = new ArrayList<>(count);
+    for (int i = 0; i < count; i++) {
+      Resp item = value(depth + 1);
+      if (!whole || item == null) return null;
+      items.add(item);
+    }
+    return new Resp.Many(items);
+  }
+
+  private String line() throws Lost {
+    for (int i = at; i + 1 < to && i - at <= LONGEST_LINE; i++) {
+      if (data[i] == '\r' && data[i + 1] == '\n') {
+        String text = new String(data, at, i - at, StandardCharsets.ISO_8859_1);
+        at = i + 2;
+        return text;
+      }
+    }
+    if (to - at > LONGEST_LINE) throw new Lost("line too long");
+    whole = false;
+    return null;
+  }
+
+  private static int number(String text, int most) throws Lost {
+    try {
+      int n = Integer.parseInt(text);
+      if (n >= -1 && n <= most) return n;
+    } catch (NumberFormatException e) {
+      // falls through: as good as a number out of range
+    }
+    throw new Lost("no length: " + text);
+  }
+}
--- /dev/null
+++ b/src/main/java/saltlatch/wire/TargetList.java
@@ -0,0 +1,35 @@
+package saltlatch.wire;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One message of discovery, decoded once. */
+public record TargetList(long index, boolean whole, List<Target> targets) {
+  public enum Status { READY, TERMINATING, GONE }
+
+  public record Target(String name, String address, String zone, String type, int group, Status status, double weight,
+      long sinceMs) {}
+
+  static TargetList of(String line) {
+    return of(JsonParser.parseString(line).getAsJsonObject());
+  }
+
+  public static TargetList of(JsonObject o) {
+    List<Target> targets = new ArrayList<>();
+    for (JsonElement e : o.getAsJsonArray("endpoints")) {
+      JsonObject t = e.getAsJsonObject();
+      Status status = Status.valueOf(t.get("status").getAsString().toUpperCase(java.util.Locale.ROOT));
+      targets.add(new Target(t.get("name").getAsString(), text(t, "address"), text(t, "zone"), text(t, "type"),
+          t.has("group") ? t.get("group").getAsInt() : 0, status, t.has("weight") ? t.get("weight").getAsDouble() : 1,
+          t.has("since_ms") ? t.get("since_ms").getAsLong() : 0));
+    }
+    return new TargetList(o.get("index").getAsLong(), o.get("snapshot").getAsBoolean(), targets);
+  }
+
+  private static String text(JsonObject t, String key) {
+    return t.has(key) && !t.get(key).isJsonNull() ? t.get(key).getAsString() : "";
+  }
+}
