Leaving the share charges a customer only what this node passed

Lines at fault: follow(), hasLocalRoom(). Now the node's own use is taken off the whole room and the others' comes from the totals; debts are shared alike.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -139,7 +139,7 @@
     double share; // learned part of its use that comes through this node, an even one at least
     double room; // units its quota has left, as the totals seen show it; the share of it while alone
     long roomAt;
-    boolean alone; // decided without the counter
+    double alone = -1; // units passed without the counter since its last answer; below 0: not alone
     boolean spent; // a window's count reached the limit and the quota has not filled again since
     double store; // this node's part of the hard ceiling
     long storeAt;
@@ -248,7 +248,7 @@
     // would make the customer look fuller to the other nodes than it is.
     // Guards against client tries that come back past their response target and take room from first ones:
     // none passes for a spent customer or in a jam. Harms nobody in time, unless a wait is told wrongly.
-    boolean full = r.customer.spent && !r.customer.alone && r.customer.room < r.reserved
+    boolean full = r.customer.spent && r.customer.alone < 0 && r.customer.room < r.reserved
         || r.belated && (r.customer.spent || !counterIsWell());
     // Guards against a counter that is silent, refusing, full or slow: a call goes out every gap, for the
     // next req in time; the others are decided on this node's share at once. Covers any cause of
@@ -305,11 +305,10 @@
   /** Takes in a total: what others charged since the last one leaves the customer's room. */
   private void follow(Window w, double units, double total) {
     Customer c = w.customer;
-    if (c.alone) {
-      c.alone = false;
-      c.room /= c.room > 0 ? c.share : 1;
-    }
     fill(c);
+    // What others used meanwhile shows in their totals; taking it to be as much as here would charge it twice.
+    if (c.alone >= 0) c.room = (c.room + c.alone) / c.share - c.alone;
+    c.alone = -1;
     w.mine += units;
     if (total + NOUGHT < w.mine) {
       // Guards against lost counts (a flush, a counter back empty): the total is below what this node alone
@@ -362,6 +361,7 @@
       r.admitted = true;
       counted += COUNTED * ((r.counting ? 1 : 0) - counted);
       c.room -= r.reserved;
+      c.alone += c.alone >= 0 ? r.reserved : 0;
       c.store -= r.told.units();
     }
   }
@@ -407,7 +407,7 @@
   }
 
   private void fill(Customer c) {
-    double part = c.alone ? c.share : 1;
+    double part = c.alone >= 0 ? c.share : 1;
     c.room = filled(c.room, c.roomAt, c.plan.rate() * part, c.plan.burst() * part);
     c.roomAt = now;
     c.spent &= c.room < REFILLED * c.plan.burst() * part;
@@ -417,9 +417,9 @@
   private boolean hasLocalRoom(Req r) {
     Customer c = r.customer;
     fill(c);
-    if (!c.alone) {
-      c.alone = true;
-      c.room *= c.room > 0 ? c.share : 1;
+    if (c.alone < 0) {
+      c.alone = 0;
+      c.room *= c.share;
     }
     return c.room > 0;
   }
