The counted part is taken of charges at their window's turn

Probe before: others' totals of 796 units were charged as 2478, since a low part of reqs was decided by calls, though calls carry what was passed meanwhile. Now the part is what calls had carried of a window's charges when it turned.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -32,7 +32,7 @@
   static final double SHARE_STEP = 0.1; // step of the learned share of a customer's use: ten answers
   static final double SHARE_FROM = 0.25; // part of the burst that a total needs to teach the share
   static final double NOUGHT = 0.01; // units: totals come to seven digits
-  static final double COUNTED = 0.05; // step of the part of passed reqs that were counted: 20 reqs
+  static final double COUNTED = 0.05; // step of the part of charges counted by their window's turn: 20 windows
   static final int MISSES = 2; // count calls in a row without answer before the counter is taken as bad
   static final double GAP_FIRST = 100; // 10 ms between calls to a bad counter at first
   static final double GAP_UP = 1.5; // the gap grows by this, once a round, while answers are missing
@@ -178,7 +178,7 @@
   private final long started;
   private long longest; // client timeout
   private long now;
-  private double counted = 1; // recent part of the passed reqs that count calls decided
+  private double counted = 1; // part of this node's charges that calls carried before their window turned
   private int misses; // count calls in a row without an answer
   private double gap; // between count calls; 0: the counter is well
   private long nextCall, nextGap;
@@ -359,7 +359,6 @@
       finish(r, End.DENIED, rules.longestPause());
     } else {
       r.admitted = true;
-      counted += COUNTED * ((r.counting ? 1 : 0) - counted);
       c.room -= r.reserved;
       c.alone += c.alone >= 0 ? r.reserved : 0;
       c.store -= r.told.units();
@@ -392,7 +391,9 @@
     long length = length(c.plan);
     long number = now / length;
     if (c.window == null || c.window.turn != (number + 1) * length) {
-      Window w = new Window();
+      Window w = new Window(), old = c.window;
+      double all = old == null ? 0 : old.mine + Math.max(0, old.owed);
+      if (all > NOUGHT) counted += COUNTED * (Math.max(0, old.mine) / all - counted);
       w.customer = c;
       w.name = (c.id << 31) ^ (number & 0x7fffffffL);
       w.turn = (number + 1) * length;
