Windows that turn while the counter is silent teach nothing of the counted part

A silence of ten seconds made the part low, and at its end the others' totals, which then carry what was passed in it, were charged threefold.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -393,7 +393,7 @@
     if (c.window == null || c.window.turn != (number + 1) * length) {
       Window w = new Window(), old = c.window;
       double all = old == null ? 0 : old.mine + Math.max(0, old.owed);
-      if (all > NOUGHT) counted += COUNTED * (Math.max(0, old.mine) / all - counted);
+      if (all > NOUGHT && misses == 0) counted += COUNTED * (Math.max(0, old.mine) / all - counted);
       w.customer = c;
       w.name = (c.id << 31) ^ (number & 0x7fffffffL);
       w.turn = (number + 1) * length;
