The event loop waits on native epoll: NIO's timers spin for half a millisecond

The NIO transport rounds a wait to whole ms, so that each timer that falls due spins for up to 0.5 ms.

--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -32,9 +32,10 @@
   private final CountDownLatch stopped = new CountDownLatch(1);
 
   private Serve(Station station) {
-    vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
+    vertx = Vertx.vertx(new VertxOptions().setPreferNativeTransport(true).setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
         .setBlockedThreadCheckInterval(3_600_000)
         .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+    LOG.info("native transport {}", vertx.isNativeTransportEnabled());
     loop = vertx.getOrCreateContext();
     loop.exceptionHandler(e -> {
       counters.add("exceptions");
