--- a/src/main/java/saltlatch/node/Pilot.java
+++ b/src/main/java/saltlatch/node/Pilot.java
@@ -10,6 +10,7 @@
 import saltlatch.api.Event;
 import saltlatch.api.Gateway;
 import saltlatch.state.Counters;
+import saltlatch.state.Counters.Count;
 import saltlatch.state.Exchange;
 import saltlatch.state.Exchanges;
 import saltlatch.state.Names;
@@ -93,15 +94,17 @@
   @Override
   public Timers.Timer at(long when, Runnable then) {
     Timers.Timer t = timers.add(when, then);
-    arm();
+    if (when < armedFor) arm();
     return t;
   }
 
+  /** Sets the one timer of the loop for what falls due first; dropped ones must not wake the loop. */
   private void arm() {
     long next = timers.earliest();
-    if (next == Long.MAX_VALUE || next >= armedFor) return;
+    if (next == armedFor) return;
     if (armedFor != Long.MAX_VALUE) vertx.cancelTimer(armed);
     armedFor = next;
+    if (next == Long.MAX_VALUE) return;
     armed = vertx.setTimer(Math.max(1, (next - clock.now() + 9) / 10), id -> {
       armedFor = Long.MAX_VALUE;
       timers.run(clock.now());
@@ -126,9 +129,10 @@
       gateway.handle(clock.now(), events);
     } catch (RuntimeException e) {
       LOG.error("the module failed", e);
-      counters.add("module_failed");
+      counters.add(Count.EXCEPTIONS);
       for (Event event : events) drop(event);
     }
+    arm();
   }
 
   /** A req that the module failed on gets its final answer here, and the module is told that it is gone. */
@@ -145,15 +149,15 @@
   public Exchange arrived(Request req, Exchange.Client client) {
     int frontend = frontends.find(req.frontend);
     int plan = plans.find(req.plan);
-    counters.add("reqs");
+    counters.add(Count.REQS);
     if (frontend < 0 || plan < 0) {
-      counters.add("reqs_unknown");
+      counters.add(Count.REQS_UNKNOWN);
       client.aborted();
       return null;
     }
     Exchange x = exchanges.open(req, client);
     if (x == null) {
-      counters.add("reqs_over_limit");
+      counters.add(Count.REQS_OVER_LIMIT);
       client.denied(0);
       return null;
     }
@@ -165,7 +169,7 @@
   @Override
   public void left(Exchange x) {
     x.left();
-    counters.add("clients_left");
+    counters.add(Count.CLIENTS_LEFT);
     add(new Event.ClientLeft(x.rid));
     exchanges.release(x);
   }
@@ -248,7 +252,7 @@
 
   @Override
   public String figures() {
-    return counters.text() + " held=" + exchanges.size();
+    return counters.text() + "held=" + exchanges.size() + "\n";
   }
 
   // ---- actions
--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -14,6 +14,7 @@
 import org.slf4j.LoggerFactory;
 import saltlatch.api.Gateway;
 import saltlatch.state.Counters;
+import saltlatch.state.Counters.Count;
 import saltlatch.wire.Door;
 
 /** Start and stop of one edge node. */
@@ -38,7 +39,7 @@
     LOG.info("native transport {}", vertx.isNativeTransportEnabled());
     loop = vertx.getOrCreateContext();
     loop.exceptionHandler(e -> {
-      counters.add("exceptions");
+      counters.add(Count.EXCEPTIONS);
       LOG.error("unexpected", e);
     });
     int links = (station.descriptors() - OWN_DESCRIPTORS) / 2;
@@ -94,6 +95,6 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    LOG.info("{}", pilot.figures());
+    LOG.info("{}", pilot.figures().replace('\n', ' '));
   }
 }
--- a/src/main/java/saltlatch/state/Counters.java
+++ b/src/main/java/saltlatch/state/Counters.java
@@ -1,18 +1,36 @@
 package saltlatch.state;
 
-import java.util.TreeMap;
+import java.util.Locale;
 
 /** What the node has taken in, sent and answered since its start. */
 public final class Counters {
-  private final TreeMap<String, long[]> all = new TreeMap<>();
+  /** One thing that is counted. */
+  public enum Count {
+    CLIENTS_ACCEPTED, CLIENTS_OVER_LIMIT, CLIENTS_BROKEN, CLIENTS_LEFT,
+    COMMANDS_UNKNOWN, COMMANDS_MALFORMED, COMMANDS_LOST_FRAMING,
+    REQS, REQS_UNKNOWN, REQS_OVER_LIMIT, ANSWERED_PASSED, ANSWERED_DENIED, ANSWERED_ABORTED,
+    CONNECTIONS_OPENED, CONNECTIONS_BROKEN, DISPATCHED, DISPATCHES_PASSED, DISPATCHES_ENDED_OTHERWISE, PROBED,
+    COUNTED, COUNTS_ANSWERED, COUNTS_ENDED_OTHERWISE, COUNTER_OPENED, COUNTER_BROKEN,
+    WATCHES, WATCHES_BROKEN, FETCHES, LISTS, LISTS_MALFORMED,
+    PEERS_TOLD, PEERS_HEARD, PEERS_FAILED, EXCEPTIONS
+  }
+
+  private final long[] all = new long[Count.values().length];
+
+  public void add(Count what) {
+    all[what.ordinal()]++;
+  }
 
-  public void add(String name) {
-    all.computeIfAbsent(name, k -> new long[1])[0]++;
+  public long get(Count what) {
+    return all[what.ordinal()];
   }
 
+  /** A line each, those at nought too. */
   public String text() {
     StringBuilder out = new StringBuilder();
-    all.forEach((name, n) -> out.append(name).append('=').append(n[0]).append(' '));
-    return out.toString().trim();
+    for (Count c : Count.values()) {
+      out.append(c.name().toLowerCase(Locale.ROOT)).append('=').append(all[c.ordinal()]).append('\n');
+    }
+    return out.toString();
   }
 }
--- a/src/main/java/saltlatch/wire/AppLink.java
+++ b/src/main/java/saltlatch/wire/AppLink.java
@@ -4,6 +4,7 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
+import saltlatch.state.Counters.Count;
 import saltlatch.state.Exchange;
 import saltlatch.state.Timers;
 
@@ -39,7 +40,7 @@
         return;
       }
       socket.handler(this::read);
-      socket.exceptionHandler(e -> owner.counters().add("connections_broken"));
+      socket.exceptionHandler(e -> owner.counters().add(Count.CONNECTIONS_BROKEN));
       socket.closeHandler(v -> end(Answer.none(written ? Ending.BROKE_WRITTEN : Ending.BROKE_UNWRITTEN)));
       write();
     });
--- a/src/main/java/saltlatch/wire/AppServers.java
+++ b/src/main/java/saltlatch/wire/AppServers.java
@@ -8,9 +8,9 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import saltlatch.state.Counters;
+import saltlatch.state.Counters.Count;
 import saltlatch.state.Exchange;
 import saltlatch.state.Pool;
 
@@ -75,7 +75,7 @@
   }
 
   public void dispatch(Exchange x, int dispatch, int srv, long cap) {
-    counters.add("dispatched");
+    counters.add(Count.DISPATCHED);
     AppLink link = link(srv);
     if (link == null) {
       host.ended(x, dispatch, srv, Answer.none(Ending.NO_DESCRIPTOR), 0);
@@ -85,7 +85,7 @@
   }
 
   public void probe(int srv, long cap) {
-    counters.add("probed");
+    counters.add(Count.PROBED);
     AppLink link = link(srv);
     if (link == null) host.probed(srv, Answer.none(Ending.NO_DESCRIPTOR), 0);
     else link.send(Buffer.buffer("*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n"), null, 0, cap);
@@ -114,7 +114,7 @@
     if (link == null) {
       if (links >= mostLinks && !closeOldest()) return null;
       links++;
-      counters.add("connections_opened");
+      counters.add(Count.CONNECTIONS_OPENED);
       link = new AppLink(this, srv);
       link.open(client, s.address);
     }
@@ -150,7 +150,7 @@
     Srv s = srvs.get(link.srv);
     s.busy.remove(link);
     if (open) s.pool.put(link, desk.now());
-    counters.add("dispatch_" + answer.ending().name().toLowerCase(Locale.ROOT));
+    counters.add(answer.ending() == Ending.ANSWERED ? Count.DISPATCHES_PASSED : Count.DISPATCHES_ENDED_OTHERWISE);
     if (x == null) host.probed(link.srv, answer, spent);
     else host.ended(x, dispatch, link.srv, answer, spent);
   }
--- a/src/main/java/saltlatch/wire/ClientLink.java
+++ b/src/main/java/saltlatch/wire/ClientLink.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import saltlatch.state.Counters.Count;
 import saltlatch.state.Exchange;
 
 /** One client's connection. Commands are handed on as they come; answers go out in the order of the commands. */
@@ -18,19 +19,19 @@
 
     @Override
     public void passed(byte[] value) {
-      door.counters().add("answered_passed");
+      door.counters().add(Count.ANSWERED_PASSED);
       fill(Answer.passed(value));
     }
 
     @Override
     public void denied(long pauseMs) {
-      door.counters().add("answered_denied");
+      door.counters().add(Count.ANSWERED_DENIED);
       fill(Answer.line(pauseMs > 0 ? "-BUSY " + pauseMs : "-BUSY"));
     }
 
     @Override
     public void aborted() {
-      door.counters().add("answered_aborted");
+      door.counters().add(Count.ANSWERED_ABORTED);
       fill(Answer.line("-ERR aborted"));
     }
 
@@ -51,7 +52,7 @@
     this.door = door;
     this.socket = socket;
     socket.handler(this::read);
-    socket.exceptionHandler(e -> door.counters().add("clients_broken"));
+    socket.exceptionHandler(e -> door.counters().add(Count.CLIENTS_BROKEN));
     socket.closeHandler(v -> ended());
     socket.drainHandler(v -> resume());
   }
@@ -75,7 +76,7 @@
     try {
       for (Resp command = in.next(); command != null && !closed; command = in.next()) take(command);
     } catch (RespReader.Lost e) {
-      door.counters().add("commands_lost_framing");
+      door.counters().add(Count.COMMANDS_LOST_FRAMING);
       broken = true;
       say("-ERR Protocol error: " + e.getMessage());
     }
@@ -93,14 +94,14 @@
     } else if (verb.equalsIgnoreCase("INFO")) {
       place().fill(Answer.passed(door.host().figures().getBytes(java.nio.charset.StandardCharsets.ISO_8859_1)));
     } else {
-      door.counters().add("commands_unknown");
+      door.counters().add(Count.COMMANDS_UNKNOWN);
       say("-ERR unknown command");
     }
   }
 
   private void serve(Request req) {
     if (req == null) {
-      door.counters().add("commands_malformed");
+      door.counters().add(Count.COMMANDS_MALFORMED);
       say("-ERR malformed command");
       return;
     }
--- a/src/main/java/saltlatch/wire/CounterClient.java
+++ b/src/main/java/saltlatch/wire/CounterClient.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import saltlatch.state.Counters;
+import saltlatch.state.Counters.Count;
 import saltlatch.state.Timers;
 
 /** The client side towards the counter. A name's calls go over one connection, so that they are answered in order. */
@@ -54,7 +55,7 @@
   }
 
   public void add(long name, double units, long keep) {
-    counters.add("counted");
+    counters.add(Count.COUNTED);
     int at = (int) Math.floorMod(name ^ name >>> 31, (long) LINKS);
     Link link = links[at];
     if (link != null && link.isStuck()) link.end();
@@ -100,7 +101,7 @@
           return;
         }
         socket.handler(this::read);
-        socket.exceptionHandler(e -> counters.add("counter_broken"));
+        socket.exceptionHandler(e -> counters.add(Count.COUNTER_BROKEN));
         socket.closeHandler(v -> end());
         for (Call c : calls) write(c);
       });
@@ -163,7 +164,7 @@
       if (c.told) return;
       c.told = true;
       c.limit.drop();
-      counters.add("count_" + ending.name().toLowerCase(java.util.Locale.ROOT));
+      counters.add(ending == Ending.ANSWERED ? Count.COUNTS_ANSWERED : Count.COUNTS_ENDED_OTHERWISE);
       host.counted(c.name, ending, total, desk.now() - c.sent);
     }
 
--- a/src/main/java/saltlatch/wire/Discovery.java
+++ b/src/main/java/saltlatch/wire/Discovery.java
@@ -10,6 +10,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import saltlatch.state.Counters;
+import saltlatch.state.Counters.Count;
 import saltlatch.state.Timers;
 
 /** Follows the list of app srvs. */
@@ -49,7 +50,7 @@
   public void follow() {
     stop();
     int mine = ++turn;
-    counters.add("watches");
+    counters.add(Count.WATCHES);
     heard(mine);
     request("/api/targets?follow=1&since=" + index, mine);
   }
@@ -62,7 +63,7 @@
   }
 
   public void fetch() {
-    counters.add("fetches");
+    counters.add(Count.FETCHES);
     client.request(HttpMethod.GET, address.port(), address.host(), "/api/targets")
         .compose(HttpClientRequest::send)
         .compose(r -> r.body())
@@ -103,12 +104,12 @@
     try {
       list = TargetList.of(text);
     } catch (RuntimeException e) {
-      counters.add("lists_malformed");
+      counters.add(Count.LISTS_MALFORMED);
       LOG.warn("malformed list passed over: {}", e.toString());
       return;
     }
     index = list.index();
-    counters.add("lists");
+    counters.add(Count.LISTS);
     host.listed(list);
   }
 
@@ -119,7 +120,7 @@
 
   private void broke(int mine, Throwable why) {
     if (mine != turn) return;
-    counters.add("watches_broken");
+    counters.add(Count.WATCHES_BROKEN);
     LOG.info("watch ended: {}", why == null ? "silent or closed" : why.toString());
     stop();
     host.listFailed();
--- a/src/main/java/saltlatch/wire/Door.java
+++ b/src/main/java/saltlatch/wire/Door.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import saltlatch.state.Counters;
+import saltlatch.state.Counters.Count;
 import saltlatch.state.Exchange;
 
 /** The server side: clients' connections, their commands in and the answers out. */
@@ -40,7 +41,7 @@
     server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true)
         .setAcceptBacklog(Math.max(64, mostLinks)));
     server.connectHandler(this::accept);
-    server.exceptionHandler(e -> counters.add("clients_broken"));
+    server.exceptionHandler(e -> counters.add(Count.CLIENTS_BROKEN));
   }
 
   public Future<?> open(SocketAddress at) {
@@ -83,9 +84,9 @@
   }
 
   private void accept(NetSocket socket) {
-    counters.add("clients_accepted");
+    counters.add(Count.CLIENTS_ACCEPTED);
     if (links.size() >= mostLinks) {
-      counters.add("clients_over_limit");
+      counters.add(Count.CLIENTS_OVER_LIMIT);
       // The one that has owed nothing for longest makes room: its client sends on a new connection.
       ClientLink idle = links.stream().filter(ClientLink::owesNothing).findFirst().orElse(null);
       if (idle == null) {
--- a/src/main/java/saltlatch/wire/Peers.java
+++ b/src/main/java/saltlatch/wire/Peers.java
@@ -7,6 +7,7 @@
 import io.vertx.core.net.SocketAddress;
 import java.util.List;
 import saltlatch.state.Counters;
+import saltlatch.state.Counters.Count;
 
 /** Datagrams between edge nodes. */
 public final class Peers {
@@ -28,22 +29,22 @@
     this.all = all;
     this.counters = counters;
     socket = vertx.createDatagramSocket(new DatagramSocketOptions());
-    socket.exceptionHandler(e -> counters.add("peers_failed"));
+    socket.exceptionHandler(e -> counters.add(Count.PEERS_FAILED));
     socket.handler(packet -> {
-      counters.add("peers_heard");
+      counters.add(Count.PEERS_HEARD);
       host.heard(peers.indexOf(packet.sender()), packet.data().getBytes());
     });
-    socket.listen(listen.port(), listen.host()).onFailure(e -> counters.add("peers_failed"));
+    socket.listen(listen.port(), listen.host()).onFailure(e -> counters.add(Count.PEERS_FAILED));
   }
 
   /** {@code peer} below 0: all of them. */
   public void tell(int peer, byte[] words) {
     SocketAddress to = peer < 0 ? all : peer < peers.size() ? peers.get(peer) : null;
     if (to == null || words.length > LONGEST) {
-      counters.add("peers_failed");
+      counters.add(Count.PEERS_FAILED);
       return;
     }
-    counters.add("peers_told");
-    socket.send(Buffer.buffer(words), to.port(), to.host()).onFailure(e -> counters.add("peers_failed"));
+    counters.add(Count.PEERS_TOLD);
+    socket.send(Buffer.buffer(words), to.port(), to.host()).onFailure(e -> counters.add(Count.PEERS_FAILED));
   }
 }
