A dispatch that fails inside the node costs one req; leftovers end a connection

Read over for what could cost more than one req: an exception in an action would have stopped the module half-way through its wanted state and repeated it; bytes behind an answer would have been taken for the next dispatch's; a req that can't be taken was answered twice; a failed fetch would have renewed a sound watch; reqs were bounded without their own 1 KB.

--- a/src/main/java/saltlatch/node/Pilot.java
+++ b/src/main/java/saltlatch/node/Pilot.java
@@ -34,6 +34,8 @@
     Peers.Host {
   private static final Logger LOG = LoggerFactory.getLogger(Pilot.class);
 
+  private static final long REWATCH = 10_000; // 1 s; the agent is on this machine and answers at no cost
+
   private final Vertx vertx;
   private final Context loop;
   private final Station station;
@@ -70,8 +72,9 @@
   }
 
   /** Starts the module on the list last known; the sockets of the client side open as they are needed. */
-  void start(Gateway.Maker maker, int appLinks) {
-    appServers = new AppServers(vertx, this, this, counters, station.connectTime(), station.idleTime(), appLinks);
+  void start(Gateway.Maker maker) {
+    appServers = new AppServers(vertx, this, this, counters, station.connectTime(), station.idleTime(),
+        station.links());
     if (station.counter() != null) {
       counter = new CounterClient(vertx, station.counter(), this, this, counters, station.countLimit());
     }
@@ -207,9 +210,15 @@
   }
 
   @Override
-  public void listFailed() {
+  public void fetchFailed() {
+    add(new Event.Listed(Event.ListKind.FAILED, List.of()));
+  }
+
+  /** Where changes come unasked the watch is this host's to renew, elsewhere the module's. */
+  @Override
+  public void watchEnded() {
     if (station.site().rules().mustFollow()) add(new Event.Listed(Event.ListKind.FAILED, List.of()));
-    else at(now() + 10_000, discovery::follow); // 1 s
+    else at(now() + REWATCH, discovery::follow);
   }
 
   private Event listed(TargetList list, Event.ListKind kind) {
@@ -261,7 +270,15 @@
   public void dispatch(long rid, long srv, long cap) {
     Exchange x = exchanges.find(rid);
     if (x == null) return;
-    appServers.dispatch(x, exchanges.begin(x), (int) srv, cap);
+    int dispatch = exchanges.begin(x);
+    try {
+      appServers.dispatch(x, dispatch, (int) srv, cap);
+    } catch (RuntimeException e) {
+      // Guards against a fault of this side that stops the module half-way through what it wants of other reqs.
+      LOG.error("dispatch failed", e);
+      counters.add(Count.EXCEPTIONS);
+      ended(x, dispatch, (int) srv, Answer.none(Ending.NO_DESCRIPTOR), 0);
+    }
   }
 
   @Override
--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -1,6 +1,8 @@
 package saltlatch.node;
 
 import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
@@ -8,8 +10,9 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import saltlatch.api.Gateway;
@@ -20,81 +23,96 @@
 /** Start and stop of one edge node. */
 public final class Serve {
   private static final Logger LOG = LoggerFactory.getLogger(Serve.class);
-  private static final int OWN_DESCRIPTORS = 128; // the JVM's own, the counter's 32, discovery, listening, spare
-  private static final int BYTES_PART = 8; // part of the memory for what reqs hold
+  private static final int BYTES_PART = 16; // part of the memory for what reqs hold; the heap is a third of it
   private static final long LATE_MS = 500; // after SIGTERM new connections keep coming for up to 0.4 s
-  private static final long LONGEST_STOP_MS = 60_000; // SIGKILL comes far sooner
+  private static final long LOOK_MS = 20; // between looks whether clients are done
+  private static final long LONGEST_STOP_S = 60; // SIGKILL comes far sooner
 
   private final Vertx vertx;
   private final Context loop;
-  private final Door door;
-  private final Pilot pilot;
+  private final Station station;
   private final Counters counters = new Counters();
-  private final CountDownLatch stopped = new CountDownLatch(1);
+  private final Pilot pilot;
+  private final Door door;
 
-  private Serve(Station station) {
-    vertx = Vertx.vertx(new VertxOptions().setPreferNativeTransport(true).setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
-        .setBlockedThreadCheckInterval(3_600_000)
+  Serve(Station station) {
+    this.station = station;
+    vertx = Vertx.vertx(new VertxOptions().setPreferNativeTransport(true) // NIO's timers spin for half a ms each
+        .setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
+        .setBlockedThreadCheckInterval(TimeUnit.HOURS.toMillis(1))
         .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
-    LOG.info("native transport {}", vertx.isNativeTransportEnabled());
+    vertx.exceptionHandler(this::unexpected);
     loop = vertx.getOrCreateContext();
-    loop.exceptionHandler(e -> {
-      counters.add(Count.EXCEPTIONS);
-      LOG.error("unexpected", e);
-    });
-    int links = (station.descriptors() - OWN_DESCRIPTORS) / 2;
+    loop.exceptionHandler(this::unexpected);
     pilot = new Pilot(vertx, loop, station, counters, station.memoryMb() * 1024L * 1024 / BYTES_PART);
-    door = new Door(vertx, pilot, counters, links);
+    door = new Door(vertx, pilot, counters, station.links());
   }
 
   /** Returns a code to end with, or 0 once the node serves. */
   public static int run(Gateway.Maker maker, String path, PrintStream err) {
-    Station station;
+    Serve serve;
     try {
-      station = Station.of(Files.readString(Path.of(path)));
+      serve = new Serve(Station.of(Files.readString(Path.of(path))));
     } catch (IOException | RuntimeException e) {
       err.println("saltlatch serve: configuration " + path + ": " + e);
       return 2;
     }
-    Serve serve = new Serve(station);
-    CountDownLatch open = new CountDownLatch(1);
-    int[] code = new int[1];
-    serve.loop.runOnContext(v -> {
-      serve.pilot.start(maker, (station.descriptors() - OWN_DESCRIPTORS) / 2);
-      serve.door.open(station.listen()).onComplete(done -> {
-        if (done.failed()) {
-          err.println("saltlatch serve: listen on " + station.listen() + ": " + done.cause());
-          code[0] = 3;
-        } else {
-          serve.door.ready();
-          LOG.info("{} serves on {}", station.name(), station.listen());
-        }
-        open.countDown();
-      });
-    });
     try {
-      open.await();
-    } catch (InterruptedException e) {
+      serve.start(maker).toCompletionStage().toCompletableFuture().get();
+    } catch (ExecutionException | InterruptedException e) {
+      err.println("saltlatch serve: " + serve.station.listen() + ": " + e.getCause());
       return 3;
     }
-    if (code[0] == 0) Runtime.getRuntime().addShutdownHook(new Thread(serve::stop));
-    return code[0];
+    Runtime.getRuntime().addShutdownHook(new Thread(serve::terminate));
+    return 0;
   }
 
-  /** On SIGTERM: goes on until the clients are done, then ends; SIGKILL may come first. */
-  private void stop() {
-    LOG.info("stops");
-    loop.runOnContext(v -> vertx.setTimer(LATE_MS, id -> {
+  /** Done once PING is answered with PONG. */
+  Future<Void> start(Gateway.Maker maker) {
+    Promise<Void> open = Promise.promise();
+    loop.runOnContext(v -> {
+      try {
+        pilot.start(maker);
+      } catch (RuntimeException e) {
+        open.fail(e);
+        return;
+      }
+      door.open(station.listen()).onFailure(open::fail).onSuccess(done -> {
+        door.ready();
+        LOG.info("{} serves on {}", station.name(), station.listen());
+        open.complete();
+      });
+    });
+    return open.future();
+  }
+
+  /** Takes in and answers until the clients are done; done then. */
+  Future<Void> stop() {
+    Promise<Void> done = Promise.promise();
+    loop.runOnContext(v -> vertx.setTimer(LATE_MS, late -> {
       door.closeWhenIdle();
-      vertx.setPeriodic(20, again -> {
-        if (door.open() == 0) stopped.countDown();
+      vertx.setPeriodic(0, LOOK_MS, look -> {
+        if (door.links() > 0) return;
+        vertx.cancelTimer(look);
+        done.complete();
       });
     }));
+    return done.future().compose(v -> vertx.close());
+  }
+
+  /** On SIGTERM. SIGKILL may come first, if clients wait for longer than it does. */
+  private void terminate() {
+    LOG.info("stops");
     try {
-      stopped.await(LONGEST_STOP_MS, TimeUnit.MILLISECONDS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
+      stop().toCompletionStage().toCompletableFuture().get(LONGEST_STOP_S, TimeUnit.SECONDS);
+    } catch (ExecutionException | InterruptedException | TimeoutException e) {
+      LOG.warn("not all clients were done: {}", e.toString());
     }
     LOG.info("{}", pilot.figures().replace('\n', ' '));
   }
+
+  private void unexpected(Throwable e) {
+    counters.add(Count.EXCEPTIONS);
+    LOG.error("unexpected", e);
+  }
 }
--- a/src/main/java/saltlatch/node/Station.java
+++ b/src/main/java/saltlatch/node/Station.java
@@ -17,12 +17,23 @@
     long connectTime, long idleTime, long countLimit, boolean mayTell, List<String> loadFields, List<String> frontends,
     List<String> plans, List<String> zones, List<String> types, TargetList known, Site site) {
 
+  static final int OWN_DESCRIPTORS = 128; // the JVM's own, the counter's 32, discovery, listening, spare
+  private static final int LEAST_DESCRIPTORS = OWN_DESCRIPTORS + 64; // half for clients, half for app srvs
+
+  /** Connections that may be open to each side: clients, app srvs. */
+  int links() {
+    return (descriptors - OWN_DESCRIPTORS) / 2;
+  }
+
   static Station of(String text) {
     JsonObject all = JsonParser.parseString(text).getAsJsonObject();
     JsonObject settings = all.getAsJsonObject("settings");
     JsonObject use = settings.getAsJsonObject("limits");
     JsonObject family = settings.getAsJsonObject("familyInfo");
     JsonObject limits = all.getAsJsonObject("limits");
+    int descriptors = limits.get("sockets").getAsInt();
+    if (descriptors < LEAST_DESCRIPTORS) throw new IllegalArgumentException("limits.sockets " + descriptors + " below "
+        + LEAST_DESCRIPTORS);
     List<SocketAddress> peers = new ArrayList<>();
     if (all.has("peers")) {
       for (JsonElement e : all.getAsJsonArray("peers")) peers.add(address(e.getAsString()));
@@ -33,7 +44,7 @@
     }
     return new Station(all.get("name").getAsString(), address(all, "listen"), address(all, "discovery"),
         address(all, "counter"), address(all, "peer_listen"), peers, address(all, "peers_all"),
-        limits.get("memory_mb").getAsInt(), limits.get("sockets").getAsInt(),
+        limits.get("memory_mb").getAsInt(), descriptors,
         time(use, "connectTimeout"), time(use, "connIdle"), time(family, "countLimit"),
         use.has("mayTell") && use.get("mayTell").getAsBoolean(), fields, names(settings.getAsJsonArray("categories")),
         names(settings.getAsJsonArray("contracts")), words(settings, "azs"), words(settings, "machineTypes"),
--- a/src/main/java/saltlatch/state/Exchanges.java
+++ b/src/main/java/saltlatch/state/Exchanges.java
@@ -6,6 +6,8 @@
 
 /** The reqs that are not over or have a dispatch out, by the number each got at the door. */
 public final class Exchanges {
+  private static final int OWN_BYTES = 1024; // that the node and the module hold for a req beside its command
+
   private final Map<Long, Exchange> all = new HashMap<>();
   private final long mostBytes;
   private long bytes;
@@ -17,9 +19,9 @@
 
   /** Null when no more can be held. */
   public Exchange open(Request req, Exchange.Client client) {
-    if (bytes + req.size() > mostBytes) return null;
+    if (bytes + req.size() + OWN_BYTES > mostBytes) return null;
     Exchange x = new Exchange(next++, req, client);
-    bytes += req.size();
+    bytes += req.size() + OWN_BYTES;
     all.put(x.rid, x);
     return x;
   }
@@ -39,7 +41,7 @@
 
   /** Forgets it once it is over and nothing of it is out. */
   public void release(Exchange x) {
-    if (x.idle() && all.remove(x.rid) != null) bytes -= x.req.size();
+    if (x.idle() && all.remove(x.rid) != null) bytes -= x.req.size() + OWN_BYTES;
   }
 
   public int size() {
--- a/src/main/java/saltlatch/wire/Answer.java
+++ b/src/main/java/saltlatch/wire/Answer.java
@@ -21,7 +21,7 @@
     return new Answer(Ending.ERROR_ANSWER, null, 0, 0, "");
   }
 
-  static Answer none(Ending ending) {
+  public static Answer none(Ending ending) {
     return new Answer(ending, null, 0, 0, "");
   }
 
--- a/src/main/java/saltlatch/wire/AppLink.java
+++ b/src/main/java/saltlatch/wire/AppLink.java
@@ -77,8 +77,9 @@
       Resp resp = in.next();
       if (resp == null) return;
       if (!out) throw new RespReader.Lost("an answer that nothing asked for");
-      Answer answer = Answer.of(resp);
-      finish(true, answer);
+      // Guards against an answer that is taken for that of the next dispatch: what comes behind one was not asked for.
+      if (in.isEmpty()) finish(true, Answer.of(resp));
+      else end(Answer.of(resp));
     } catch (RespReader.Lost e) {
       end(Answer.none(Ending.ERROR_ANSWER));
     }
--- a/src/main/java/saltlatch/wire/ClientLink.java
+++ b/src/main/java/saltlatch/wire/ClientLink.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -92,7 +93,7 @@
     } else if (verb.equalsIgnoreCase("PING")) {
       say(door.isReady() ? "+PONG" : "-ERR not ready");
     } else if (verb.equalsIgnoreCase("INFO")) {
-      place().fill(Answer.passed(door.host().figures().getBytes(java.nio.charset.StandardCharsets.ISO_8859_1)));
+      place().fill(Answer.passed(door.host().figures().getBytes(StandardCharsets.ISO_8859_1)));
     } else {
       door.counters().add(Count.COMMANDS_UNKNOWN);
       say("-ERR unknown command");
@@ -107,7 +108,6 @@
     }
     Place place = place();
     place.x = door.host().arrived(req, place);
-    if (place.x == null) place.denied(0);
   }
 
   private Place place() {
--- a/src/main/java/saltlatch/wire/Discovery.java
+++ b/src/main/java/saltlatch/wire/Discovery.java
@@ -19,8 +19,9 @@
   public interface Host {
     void listed(TargetList list);
 
-    /** A watch or a fetch failed. */
-    void listFailed();
+    void fetchFailed();
+
+    void watchEnded();
   }
 
   private static final Logger LOG = LoggerFactory.getLogger(Discovery.class);
@@ -68,7 +69,7 @@
         .compose(HttpClientRequest::send)
         .compose(r -> r.body())
         .onSuccess(body -> take(body.toString()))
-        .onFailure(e -> host.listFailed());
+        .onFailure(e -> host.fetchFailed());
   }
 
   private void request(String path, int mine) {
@@ -123,6 +124,6 @@
     counters.add(Count.WATCHES_BROKEN);
     LOG.info("watch ended: {}", why == null ? "silent or closed" : why.toString());
     stop();
-    host.listFailed();
+    host.watchEnded();
   }
 }
--- a/src/main/java/saltlatch/wire/Door.java
+++ b/src/main/java/saltlatch/wire/Door.java
@@ -17,7 +17,7 @@
 public final class Door {
   /** Whom reqs are handed to. */
   public interface Host {
-    /** Null when no more can be held. */
+    /** Null when the req was answered at once, since it can't be taken. */
     Exchange arrived(Request req, Exchange.Client client);
 
     void left(Exchange x);
@@ -30,7 +30,7 @@
   private final Counters counters;
   private final NetServer server;
   private final int mostLinks;
-  private final Set<ClientLink> links = new LinkedHashSet<>();
+  private final Set<ClientLink> open = new LinkedHashSet<>();
   private boolean ready;
   private boolean closing;
 
@@ -56,11 +56,12 @@
   /** Ends connections from now on as soon as nothing is owed on them. */
   public void closeWhenIdle() {
     closing = true;
-    new ArrayList<>(links).forEach(ClientLink::closeIfDone);
+    new ArrayList<>(open).forEach(ClientLink::closeIfDone);
   }
 
-  public int open() {
-    return links.size();
+  /** Clients' connections that are open. */
+  public int links() {
+    return open.size();
   }
 
   boolean isReady() {
@@ -80,21 +81,21 @@
   }
 
   void gone(ClientLink link) {
-    links.remove(link);
+    open.remove(link);
   }
 
   private void accept(NetSocket socket) {
     counters.add(Count.CLIENTS_ACCEPTED);
-    if (links.size() >= mostLinks) {
+    if (open.size() >= mostLinks) {
       counters.add(Count.CLIENTS_OVER_LIMIT);
       // The one that has owed nothing for longest makes room: its client sends on a new connection.
-      ClientLink idle = links.stream().filter(ClientLink::owesNothing).findFirst().orElse(null);
+      ClientLink idle = open.stream().filter(ClientLink::owesNothing).findFirst().orElse(null);
       if (idle == null) {
         socket.close();
         return;
       }
       idle.close();
     }
-    links.add(new ClientLink(this, socket));
+    open.add(new ClientLink(this, socket));
   }
 }
--- a/src/main/java/saltlatch/wire/RespReader.java
+++ b/src/main/java/saltlatch/wire/RespReader.java
@@ -57,6 +57,11 @@
     return value;
   }
 
+  /** Nothing has come beyond the values that were read. */
+  boolean isEmpty() {
+    return from == to;
+  }
+
   private Resp value(int depth) throws Lost {
     String line = line();
     if (line == null) return null;
