--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -32,7 +32,7 @@
   static final double SHARE_STEP = 0.1; // step of the learned share of a customer's use: ten answers
   static final double SHARE_FROM = 0.25; // part of the burst that a total needs to teach the share
   static final double NOUGHT = 0.01; // units: totals come to seven digits
-  static final double COUNTED = 0.05; // step of the part of charges counted by their window's turn: 20 windows
+  static final double COUNTED = 0.05; // step of the part of charges counted at their window's turn: 20 of them
   static final int MISSES = 2; // count calls in a row without answer before the counter is taken as bad
   static final double GAP_FIRST = 100; // 10 ms between calls to a bad counter at first
   static final double GAP_UP = 1.5; // the gap grows by this, once a round, while answers are missing
@@ -251,8 +251,7 @@
     boolean full = r.customer.spent && r.customer.alone < 0 && r.customer.room < r.reserved
         || r.belated && (r.customer.spent || !counterIsWell());
     // Guards against a counter that is silent, refusing, full or slow: a call goes out every gap, for the
-    // next req in time; the others are decided on this node's share at once. Covers any cause of
-    // missing answers; harms a little where two calls in a row are lost by chance.
+    // next req in time; a share decides the others. Harms a little where two calls are lost by chance.
     if (counterIsWell() || site.counting().open() && !r.belated && now >= nextCall) {
       nextCall = now + (long) gap;
       r.charged = full ? 0 : r.reserved;
@@ -306,8 +305,9 @@
   private void follow(Window w, double units, double total) {
     Customer c = w.customer;
     fill(c);
-    // What others used meanwhile shows in their totals; taking it to be as much as here would charge it twice.
-    if (c.alone >= 0) c.room = (c.room + c.alone) / c.share - c.alone;
+    // What others used meanwhile, taken as much as here, shows in their totals as far as charges are counted
+    // in time; charged in full on leaving the share it would be charged twice, and tries denied with room.
+    if (c.alone >= 0) c.room = (c.room + c.alone * counted) / c.share - c.alone * counted;
     c.alone = -1;
     w.mine += units;
     if (total + NOUGHT < w.mine) {
