--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -86,6 +86,10 @@
     return open.future();
   }
 
+  int port() {
+    return door.port();
+  }
+
   /** Takes in and answers until the clients are done; done then. */
   Future<Void> stop() {
     Promise<Void> done = Promise.promise();
--- a/src/main/java/saltlatch/wire/Answer.java
+++ b/src/main/java/saltlatch/wire/Answer.java
@@ -21,6 +21,12 @@
     return new Answer(Ending.ERROR_ANSWER, null, 0, 0, "");
   }
 
+  /** The answer to a probe: the load as a bulk string. */
+  static Answer ofProbe(Resp resp) {
+    if (!(resp instanceof Resp.Bulk b) || b.bytes() == null) return of(resp);
+    return new Answer(Ending.ANSWERED, b.bytes(), 0, 0, b.text());
+  }
+
   public static Answer none(Ending ending) {
     return new Answer(ending, null, 0, 0, "");
   }
--- a/src/main/java/saltlatch/wire/AppLink.java
+++ b/src/main/java/saltlatch/wire/AppLink.java
@@ -78,8 +78,9 @@
       if (resp == null) return;
       if (!out) throw new RespReader.Lost("an answer that nothing asked for");
       // Guards against an answer that is taken for that of the next dispatch: what comes behind one was not asked for.
-      if (in.isEmpty()) finish(true, Answer.of(resp));
-      else end(Answer.of(resp));
+      Answer answer = x == null ? Answer.ofProbe(resp) : Answer.of(resp);
+      if (in.isEmpty()) finish(true, answer);
+      else end(answer);
     } catch (RespReader.Lost e) {
       end(Answer.none(Ending.ERROR_ANSWER));
     }
--- a/src/main/java/saltlatch/wire/Door.java
+++ b/src/main/java/saltlatch/wire/Door.java
@@ -48,6 +48,11 @@
     return server.listen(at);
   }
 
+  /** The port in use, which the system chose if it was asked for 0. */
+  public int port() {
+    return server.actualPort();
+  }
+
   /** From now on PING is answered with PONG. */
   public void ready() {
     ready = true;
--- a/src/test/java/saltlatch/ControlTest.java
+++ b/src/test/java/saltlatch/ControlTest.java
@@ -90,6 +90,46 @@
     t.matches("silent-counter");
   }
 
+  /** What passes on a share is carried by the next call, so another node's total counts as it stands. */
+  @Test
+  void jamChargesOnce() throws IOException {
+    t.list("11/1", "12/1", "13/1", "14/1");
+    t.arrive(1, REPLAYABLE, 0.01);
+    t.arrive(2, REPLAYABLE, 0.01);
+    t.pass(300);
+    t.counted(Outcome.LATE);
+    t.counted(Outcome.LATE);
+    for (int i = 3; i < 24; i++) {
+      t.muted = i > 4 && i < 23;
+      t.pass(4);
+      t.arrive(i, REPLAYABLE, 0.05);
+      t.ended(i, 0, Outcome.PASSED);
+    }
+    t.pass(20);
+    t.arrive(24, REPLAYABLE, 0.05);
+    t.counted(3); // the test call of the jam
+    t.counted(4); // what was passed since, and one unit of another node's
+    t.pass(20);
+    t.arrive(25, REPLAYABLE, 1);
+    t.counted(5);
+    t.matches("jam-charges-once");
+  }
+
+  /** A count call that broke off may have counted, one that was turned away has not: only that is owed again. */
+  @Test
+  void brokenCount() throws IOException {
+    t.list("11/1", "12/1", "13/1", "14/1");
+    t.arrive(1, REPLAYABLE, 1);
+    t.counted(Outcome.BROKEN);
+    t.arrive(2, REPLAYABLE, 1);
+    t.counted(1);
+    t.arrive(3, REPLAYABLE, 1);
+    t.counted(Outcome.FULL);
+    t.arrive(4, REPLAYABLE, 1);
+    t.counted(4);
+    t.matches("broken-count");
+  }
+
   /** 200 nodes must not test a jammed counter into a longer jam: each calls far less than one of two does. */
   @Test
   void jamOfManyNodes() {
--- /dev/null
+++ b/src/test/java/saltlatch/node/NodeTest.java
@@ -0,0 +1,330 @@
+package saltlatch.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import saltlatch.api.Actions;
+import saltlatch.api.Event;
+
+/**
+ * A whole node on loopback sockets, with a scripted module in it. The test's own thread is the client, the app srv,
+ * the counter and discovery, each in its turn, so that nothing races.
+ */
+@Timeout(60)
+class NodeTest {
+  private final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+  private final List<Socket> sockets = new ArrayList<>();
+  private ServerSocket appSrv;
+  private ServerSocket counter;
+  private ServerSocket discovery;
+  private Serve node;
+  private Actions to;
+  private boolean stopped;
+  private Consumer<Event> script = e -> { };
+
+  @BeforeEach
+  void start() throws Exception {
+    appSrv = listen();
+    counter = listen();
+    discovery = listen();
+    node = new Serve(Station.of(config()));
+    node.start((now, site, out) -> {
+      to = out;
+      return (at, events) -> events.forEach(e -> {
+        seen.add(text(e));
+        script.accept(e);
+      });
+    }).toCompletionStage().toCompletableFuture().get();
+    assertEquals("listed CACHED [0 READY]", next());
+  }
+
+  @AfterEach
+  void end() throws Exception {
+    for (Socket s : sockets) s.close();
+    appSrv.close();
+    counter.close();
+    discovery.close();
+    if (!stopped) node.stop().toCompletionStage().toCompletableFuture().get();
+  }
+
+  private String config() throws IOException {
+    return Files.readString(Path.of("deploy/sample.json"))
+        .replace("\"countLimit\":30", "\"countLimit\":1000").replace("\"connectTimeout\":250", "\"connectTimeout\":5000")
+        .replace("\"listen\":\"127.0.0.1:16379\"", "\"listen\":\"127.0.0.1:0\"")
+        .replace("\"peer_listen\":\"127.0.0.1:16379\"", "\"peer_listen\":\"127.0.0.1:0\"")
+        .replace("\"discovery\":\"127.0.0.1:16379\"", "\"discovery\":\"127.0.0.1:" + discovery.getLocalPort() + "\"")
+        .replace("\"counter\":\"127.0.0.1:16379\"", "\"counter\":\"127.0.0.1:" + counter.getLocalPort() + "\"")
+        .replace("\"address\":\"127.0.0.1:16379\"", "\"address\":\"127.0.0.1:" + appSrv.getLocalPort() + "\"");
+  }
+
+  private static String text(Event e) {
+    if (e instanceof Event.Arrived a) return "arrived " + a.rid() + " waits " + a.left() / 10;
+    if (e instanceof Event.Ended d) return "ended " + d.rid() + "/" + d.dispatch() + " " + d.how() + (d.over() ? " over" : "");
+    if (e instanceof Event.Counted c) return "counted " + c.name() + " " + c.how() + " " + c.total();
+    if (e instanceof Event.ClientLeft c) return "left " + c.rid();
+    if (e instanceof Event.Probed p) return "probed " + p.how() + " " + p.load();
+    if (e instanceof Event.Listed l) {
+      return "listed " + l.kind() + " " + l.entries().stream().map(x -> x.srv() + " " + x.condition()).toList();
+    }
+    return e.getClass().getSimpleName();
+  }
+
+  private String next() throws InterruptedException {
+    String text = seen.poll(20, TimeUnit.SECONDS);
+    return text == null ? "nothing" : text;
+  }
+
+  private static ServerSocket listen() throws IOException {
+    return new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+  }
+
+  private Socket accept(ServerSocket at) throws IOException {
+    Socket s = at.accept();
+    sockets.add(s);
+    return s;
+  }
+
+  private Socket client() throws IOException {
+    Socket s = new Socket("127.0.0.1", node.port());
+    sockets.add(s);
+    return s;
+  }
+
+  private static void say(Socket s, String text) throws IOException {
+    s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  /** A line without its end; the end of the stream is "closed". */
+  private static String line(Socket s) throws IOException {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    InputStream in = s.getInputStream();
+    for (int b = in.read(); b != '\n'; b = in.read()) {
+      if (b < 0) return "closed";
+      if (b != '\r') out.write(b);
+    }
+    return out.toString(StandardCharsets.ISO_8859_1);
+  }
+
+  private static String lines(Socket s, int count) throws IOException {
+    List<String> all = new ArrayList<>();
+    for (int i = 0; i < count; i++) all.add(line(s));
+    return String.join(" ", all);
+  }
+
+  private static String req(int id) {
+    return "*4\r\n$9\r\nSVC.QUERY\r\n$16\r\n0000000000000007\r\n$2\r\n" + (10 + id)
+        + "\r\n$39\r\nc=read,t=plan,d=900,units=1,spread=1,n=\r\n";
+  }
+
+  private static long rid(Event e) {
+    return ((Event.Arrived) e).rid();
+  }
+
+  /** Commands behind one another are decided at once and answered in their order. */
+  @Test
+  void answersInOrder() throws Exception {
+    script = e -> {
+      if (!(e instanceof Event.Arrived) || rid(e) != 2) return;
+      to.deny(2, 2_500);
+      to.abort(1);
+      to.deny(0, 0);
+    };
+    Socket c = client();
+    say(c, req(0) + req(1) + req(2) + "*1\r\n$4\r\nPING\r\n");
+    assertEquals("-BUSY -ERR aborted -BUSY 250 +PONG", lines(c, 4));
+  }
+
+  /** What can't be read ends its own connection at most. */
+  @Test
+  void badInput() throws Exception {
+    script = e -> to.deny(rid(e), 0);
+    Socket good = client();
+    Socket bad = client();
+    say(bad, "*1\r\n$4\r\nPING\r\n" + req(1).replace("d=900", "d=9x0") + "*1\r\n$7\r\nCOMMAND\r\n" + "GET / HTTP/1.1\r\n\r\n");
+    assertEquals("+PONG -ERR malformed command -ERR unknown command -ERR Protocol error: no RESP2 value closed", lines(bad, 5));
+    say(good, req(1).replace("c=read", "c=rexd") + req(1));
+    assertEquals("-ERR aborted -BUSY", lines(good, 2));
+  }
+
+  /** An app srv's connection is used again, and each way it can end tells the module what it must. */
+  @Test
+  void dispatchesAndTheirEnds() throws Exception {
+    script = e -> {
+      if (e instanceof Event.Arrived) to.dispatch(rid(e), 0, 80_000);
+      if (e instanceof Event.Ended d && !d.over()) to.abort(d.rid());
+    };
+    Socket c = client();
+    String[] answers = {"*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n", "-ERR failed\r\n", "-BUSY\r\n", null};
+    String[] told = {"PASSED over", "ERROR", "FULL", "BROKEN"};
+    String[] got = {"$2 hi", "-ERR aborted", "-ERR aborted", "-ERR aborted"};
+    Socket s = null;
+    for (int i = 0; i < answers.length; i++) {
+      say(c, req(i));
+      assertEquals("arrived " + i + " waits 900", next());
+      if (s == null) s = accept(appSrv);
+      assertEquals("*4 $9 SVC.QUERY $16 0000000000000007 $2 " + (10 + i) + " $40 c=read,t=plan,d=8000,units=1,spread=1,n=", lines(s, 9));
+      if (answers[i] == null) s.close();
+      else say(s, answers[i]);
+      assertEquals("ended " + i + "/0 " + told[i], next());
+      assertEquals(got[i], lines(c, got[i].startsWith("$") ? 2 : 1));
+    }
+    appSrv.close();
+    say(c, req(4));
+    assertEquals("arrived 4 waits 900 ended 4/0 NOT_CONNECTED", next() + " " + next());
+  }
+
+  /** A dispatch given up ends its connection; an answer that comes with too much is not kept for the next one. */
+  @Test
+  void givenUpAndLeftOver() throws Exception {
+    script = e -> {
+      if (e instanceof Event.Arrived) to.dispatch(rid(e), 0, rid(e) == 0 ? 5_000 : 80_000);
+      if (e instanceof Event.Ended d && d.rid() == 0) to.abort(0);
+      if (e instanceof Event.ClientLeft l) to.cancel(l.rid(), 0);
+    };
+    Socket c = client();
+    say(c, req(0));
+    Socket s = accept(appSrv);
+    assertEquals("*4 $9 SVC.QUERY $16 0000000000000007 $2 10 $39 c=read,t=plan,d=500,units=1,spread=1,n= closed", lines(s, 10));
+    assertEquals("arrived 0 waits 900 ended 0/0 LATE", next() + " " + next());
+    assertEquals("-ERR aborted", line(c));
+    say(c, req(1));
+    s = accept(appSrv);
+    lines(s, 9);
+    say(s, "*1\r\n$2\r\nhi\r\n-ERR stray\r\n");
+    assertEquals("$2 hi closed", lines(c, 2) + " " + line(s));
+    say(c, req(2));
+    s = accept(appSrv);
+    lines(s, 9);
+    assertEquals("arrived 1 waits 900 ended 1/0 PASSED over arrived 2 waits 900", next() + " " + next() + " " + next());
+    c.close();
+    assertEquals("left 2 ended 2/0 CANCELLED over closed", next() + " " + next() + " " + line(s));
+  }
+
+  /** A call that has timed out keeps its place: its late answer is not taken for that of the call behind it. */
+  @Test
+  void lateCounterAnswers() throws Exception {
+    script = e -> {
+      if (e instanceof Event.Arrived) to.count(255, 1.5, 40_000);
+    };
+    Socket c = client();
+    say(c, req(0));
+    Socket s = accept(counter);
+    assertEquals("bump ff 1.5000 4000", line(s));
+    assertEquals("arrived 0 waits 900 counted 255 LATE 0.0", next() + " " + next());
+    say(c, req(1));
+    assertEquals("bump ff 1.5000 4000", line(s));
+    say(s, "ok 1.5\r\nok 3\r\n");
+    assertEquals("arrived 1 waits 900 counted 255 PASSED 3.0", next() + " " + next());
+    say(c, req(2));
+    line(s);
+    say(s, "busy\r\n");
+    assertEquals("arrived 2 waits 900 counted 255 FULL 0.0", next() + " " + next());
+    say(c, req(3));
+    line(s);
+    s.close();
+    assertEquals("arrived 3 waits 900 counted 255 BROKEN 0.0", next() + " " + next());
+    counter.close();
+    say(c, req(4));
+    assertEquals("arrived 4 waits 900 counted 255 NOT_CONNECTED 0.0", next() + " " + next());
+  }
+
+  /** A watch that ends is taken up again from the version last told; a line that makes no sense is passed over. */
+  @Test
+  void discoveryComesAndGoes() throws Exception {
+    Socket s = accept(discovery);
+    assertEquals("GET /api/targets?follow=1&since=1 HTTP/1.1", line(s));
+    String line = "{\"index\":7,\"snapshot\":false,\"endpoints\":[{\"name\":\"s-1\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\","
+        + "\"type\":\"m\",\"group\":3,\"status\":\"Terminating\",\"weight\":1.0,\"since_ms\":0}]}\n";
+    String body = "\n{\"index\":\n" + line;
+    say(s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length()) + "\r\n" + body + "\r\n");
+    assertEquals("listed CHANGES [1 DRAINING]", next());
+    s.close();
+    s = accept(discovery);
+    assertEquals("GET /api/targets?follow=1&since=7 HTTP/1.1", line(s));
+    body = line.replace("false", "true").replace("Terminating", "Ready").replace("s-1", "s-2").replace("7", "8");
+    say(s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length()) + "\r\n" + body + "\r\n");
+    assertEquals("listed WHOLE [2 READY]", next());
+  }
+
+  /** A probe asks for the load, and tells it under the settings' names. */
+  @Test
+  void probes() throws Exception {
+    script = e -> {
+      if (e instanceof Event.Arrived) to.probe(0);
+    };
+    say(client(), req(0));
+    Socket s = accept(appSrv);
+    assertEquals("*2 $4 INFO $4 load", lines(s, 5));
+    say(s, "$23\r\nqueue=2,utilization=0.6\r\n");
+    assertEquals("arrived 0 waits 900 probed PASSED [0.6]", next() + " " + next());
+  }
+
+  /** Guards against a fault in the module that ends the process: it costs the req that it came with. */
+  @Test
+  void moduleFails() throws Exception {
+    script = e -> {
+      if (e instanceof Event.Arrived && rid(e) == 0) throw new IllegalStateException("made up for this test");
+      if (e instanceof Event.Arrived) to.deny(rid(e), 0);
+    };
+    Socket c = client();
+    say(c, req(0));
+    assertEquals("-ERR aborted", line(c));
+    say(c, req(1));
+    assertEquals("-BUSY", line(c));
+    assertEquals("arrived 0 waits 900 left 0 arrived 1 waits 900", next() + " " + next() + " " + next());
+  }
+
+  /** After SIGTERM new connections are served for a while, and what is owed is answered before its connection ends. */
+  @Test
+  void stops() throws Exception {
+    Socket idle = client();
+    Socket busy = client();
+    say(busy, req(0));
+    assertEquals("arrived 0 waits 900", next());
+    var done = node.stop().toCompletionStage().toCompletableFuture();
+    Socket late = client();
+    say(late, "*1\r\n$4\r\nPING\r\n");
+    assertEquals("+PONG closed closed", line(late) + " " + line(late) + " " + line(idle));
+    assertEquals(false, done.isDone());
+    script = e -> to.deny(0, 0);
+    say(busy, req(1));
+    assertEquals("-BUSY", line(busy));
+    busy.close();
+    done.get();
+    stopped = true;
+  }
+
+  @Test
+  void badConfiguration(@TempDir Path dir) throws IOException {
+    ByteArrayOutputStream err = new ByteArrayOutputStream();
+    String[] texts = {"", "{", "{}", config().replace("1024", "100"), config().replace("0000000000000001", "seed"),
+        config().replace("127.0.0.1:0\"", "127.0.0.1\"")};
+    for (String text : texts) {
+      Path path = Files.writeString(dir.resolve("config.json"), text);
+      assertEquals(2, Serve.run((now, site, out) -> null, path.toString(), new PrintStream(err)));
+    }
+    assertEquals(2, Serve.run((now, site, out) -> null, dir.resolve("none").toString(), new PrintStream(err)));
+    assertTrue(err.toString().lines().allMatch(l -> l.startsWith("saltlatch serve: configuration ")), err.toString());
+  }
+}
