--- /dev/null
+++ b/Makefile
@@ -0,0 +1,19 @@
+.PHONY: build test lint run
+
+build:
+	mvn -q -DskipTests package
+	bash deploy/archive.sh
+
+test:
+	mvn -B verify
+
+# javac's lints as errors, the module's limits, no tabs and no long lines.
+lint:
+	mvn -q -DskipTests -Dmaven.compiler.failOnWarning=true clean compile
+	@! grep -nP '\t| +$$' -r src --include=*.java
+	@! awk 'length > 110 { print FILENAME ": " FNR; bad = 1 } END { exit !bad }' src/main/java/saltlatch/Control.java
+	@! find src -name '*.java' | xargs awk 'length > 130 { print FILENAME ": " FNR; bad = 1 } END { exit !bad }'
+	@test "$$(grep -cv '^\s*$$' src/main/java/saltlatch/Control.java)" -le 680
+
+run: build
+	LB_CONFIG=$${LB_CONFIG:-deploy/sample.json} sh -c "$$(sed -n 's/^run = "\(.*\)"  *#.*$$/\1/p' deploy/balancer.toml)"
--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -32,7 +32,7 @@
   static final double SHARE_STEP = 0.1; // step of the learned share of a customer's use: ten answers
   static final double SHARE_FROM = 0.25; // part of the burst that a total needs to teach the share
   static final double NOUGHT = 0.01; // units: totals come to seven digits
-  static final double COUNTED = 0.05; // step of the part of charges counted at their window's turn: 20 of them
+  static final double COUNTED = 0.05; // step of the part of charges counted before the turn: 20 windows
   static final int MISSES = 2; // count calls in a row without answer before the counter is taken as bad
   static final double GAP_FIRST = 100; // 10 ms between calls to a bad counter at first
   static final double GAP_UP = 1.5; // the gap grows by this, once a round, while answers are missing
--- a/src/test/java/saltlatch/node/NodeTest.java
+++ b/src/test/java/saltlatch/node/NodeTest.java
@@ -183,7 +183,8 @@
       say(c, req(i));
       assertEquals("arrived " + i + " waits 900", next());
       if (s == null) s = accept(appSrv);
-      assertEquals("*4 $9 SVC.QUERY $16 0000000000000007 $2 " + (10 + i) + " $40 c=read,t=plan,d=8000,units=1,spread=1,n=", lines(s, 9));
+      assertEquals("*4 $9 SVC.QUERY $16 0000000000000007 $2 " + (10 + i)
+          + " $40 c=read,t=plan,d=8000,units=1,spread=1,n=", lines(s, 9));
       if (answers[i] == null) s.close();
       else say(s, answers[i]);
       assertEquals("ended " + i + "/0 " + told[i], next());
--- a/src/test/java/saltlatch/wire/WireTest.java
+++ b/src/test/java/saltlatch/wire/WireTest.java
@@ -82,7 +82,8 @@
   @Test
   void answers() throws RespReader.Lost {
     StringBuilder seen = new StringBuilder();
-    for (String text : new String[] {"*3\r\n$2\r\nok\r\n$-1\r\n$22\r\ninflight=7,util=0.61,q\r\n", "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n",
+    for (String text : new String[] {"*3\r\n$2\r\nok\r\n$-1\r\n$22\r\ninflight=7,util=0.61,q\r\n",
+        "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n",
         "-ERR failed inflight=7\r\n", "-ERR failed\r\n", "-BUSY\r\n", "+OK\r\n", "$-1\r\n", "*0\r\n"}) {
       Answer a = Answer.of(read(text));
       seen.append(a.ending().outcome()).append(' ').append(a.value() == null ? "-" : new String(a.value())).append(' ')
