--- a/src/main/java/saltlatch/wire/ClientLink.java
+++ b/src/main/java/saltlatch/wire/ClientLink.java
@@ -11,7 +11,7 @@
 
 /** One client's connection. Commands are handed on as they come; answers go out in the order of the commands. */
 final class ClientLink {
-  private static final int MOST_OWED = 256; // commands without answer on a connection before reading stops
+  private static final int MOST_OWED = 64; // commands without answer on a connection before reading stops: 4 MB of answers
 
   /** The place of one command's answer in the order. */
   private final class Place implements Exchange.Client {
