A customer's learned share here may fall to half of an even one

The least share was an even one, so that the shares of a customer that comes mostly through one node add up to more than its quota. Lines at fault: follow().

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -30,6 +30,7 @@
   static final double KEPT_BACK = 0.35; // part of the wait allowed that is kept from belated tries
   static final double DEBT = 0.6; // bursts: what passes beyond a quota draws nothing from it
   static final double SHARE_STEP = 0.1; // step of the learned share of a customer's use: ten answers
+  static final double LEAST_SHARE = 0.5; // of an even share, the least: use moves to others within seconds
   static final double SHARE_FROM = 0.25; // part of the burst that a total needs to teach the share
   static final double NOUGHT = 0.01; // units: totals come to seven digits
   static final double COUNTED = 0.05; // step of the part of charges counted before the turn: 20 windows
@@ -305,8 +306,7 @@
   private void follow(Window w, double units, double total) {
     Customer c = w.customer;
     fill(c);
-    // What others used meanwhile, taken as much as here, shows in their totals as far as charges are counted
-    // in time; charged in full on leaving the share it would be charged twice, and tries denied with room.
+    // Others' use on shares shows in their totals as far as it is counted in time; the rest is charged here.
     if (c.alone >= 0) c.room = (c.room + c.alone * counted) / c.share - c.alone * counted;
     c.alone = -1;
     w.mine += units;
@@ -325,7 +325,7 @@
     c.room = Math.max(-DEBT * c.plan.burst(), c.room - use);
     w.top += units + use + known;
     if (w.top > SHARE_FROM * c.plan.burst()) {
-      double part = Math.min(1, Math.max(1.0 / c.width, w.mine / w.top));
+      double part = Math.min(1, Math.max(LEAST_SHARE / c.width, w.mine / w.top));
       c.share += SHARE_STEP * (part - c.share);
     }
   }
--- a/src/test/java/saltlatch/ControlTest.java
+++ b/src/test/java/saltlatch/ControlTest.java
@@ -115,6 +115,28 @@
     t.matches("jam-charges-once");
   }
 
+  /** A customer that comes mostly through others has less than an even share here while the counter is silent. */
+  @Test
+  void seldomHere() throws IOException {
+    t.list("11/1", "12/1", "13/1", "14/1");
+    t.muted = true;
+    for (int i = 1; i < 40; i++) {
+      t.pass(30_000);
+      t.arrive(i, REPLAYABLE, 0.1);
+      t.counted(3);
+      t.ended(i, 0, Outcome.PASSED);
+    }
+    t.pass(60_000);
+    t.muted = false;
+    for (int i = 40; i < 46; i++) t.arrive(i, REPLAYABLE, 1);
+    t.pass(300);
+    for (int i = 40; i < 46; i++) {
+      t.counted(Outcome.LATE);
+      t.ended(i, 0, Outcome.PASSED);
+    }
+    t.matches("seldom-here");
+  }
+
   /** A count call that broke off may have counted, one that was turned away has not: only that is owed again. */
   @Test
   void brokenCount() throws IOException {
