--- a/src/main/java/saltlatch/wire/CounterClient.java
+++ b/src/main/java/saltlatch/wire/CounterClient.java
@@ -95,6 +95,7 @@
           end();
           return;
         }
+        counters.add(Count.COUNTER_OPENED);
         socket = done.result();
         if (closed) {
           socket.close();
--- a/src/main/java/saltlatch/wire/Door.java
+++ b/src/main/java/saltlatch/wire/Door.java
@@ -93,7 +93,7 @@
     counters.add(Count.CLIENTS_ACCEPTED);
     if (open.size() >= mostLinks) {
       counters.add(Count.CLIENTS_OVER_LIMIT);
-      // The one that has owed nothing for longest makes room: its client sends on a new connection.
+      // The oldest one on which nothing is owed makes room: its client sends on a new connection.
       ClientLink idle = open.stream().filter(ClientLink::owesNothing).findFirst().orElse(null);
       if (idle == null) {
         socket.close();
--- a/src/test/java/saltlatch/node/NodeTest.java
+++ b/src/test/java/saltlatch/node/NodeTest.java
@@ -39,9 +39,9 @@
   private ServerSocket counter;
   private ServerSocket discovery;
   private Serve node;
-  private Actions to;
+  private volatile Actions to;
   private boolean stopped;
-  private Consumer<Event> script = e -> { };
+  private volatile Consumer<Event> script = e -> { };
 
   @BeforeEach
   void start() throws Exception {
@@ -227,6 +227,8 @@
   void lateCounterAnswers() throws Exception {
     script = e -> {
       if (e instanceof Event.Arrived) to.count(255, 1.5, 40_000);
+      if (!(e instanceof Event.Counted n) || n.how() != Event.Outcome.NOT_CONNECTED) return;
+      for (int i = 0; i < 5; i++) to.abort(i);
     };
     Socket c = client();
     say(c, req(0));
@@ -248,6 +250,10 @@
     counter.close();
     say(c, req(4));
     assertEquals("arrived 4 waits 900 counted 255 NOT_CONNECTED 0.0", next() + " " + next());
+    say(c, "*1\r\n$4\r\nINFO\r\n");
+    List<String> figures = new ArrayList<>();
+    for (String line = line(c); !line.startsWith("held="); line = line(c)) figures.add(line);
+    assertTrue(figures.containsAll(List.of("reqs=5", "counted=5", "counts_answered=1", "counter_opened=1")), figures.toString());
   }
 
   /** A watch that ends is taken up again from the version last told; a line that makes no sense is passed over. */
