--- a/src/test/java/saltlatch/node/NodeTest.java
+++ b/src/test/java/saltlatch/node/NodeTest.java
@@ -7,6 +7,8 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -38,6 +40,7 @@
   private ServerSocket appSrv;
   private ServerSocket counter;
   private ServerSocket discovery;
+  private DatagramSocket peer;
   private Serve node;
   private volatile Actions to;
   private boolean stopped;
@@ -48,6 +51,7 @@
     appSrv = listen();
     counter = listen();
     discovery = listen();
+    peer = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
     node = new Serve(Station.of(config()));
     node.start((now, site, out) -> {
       to = out;
@@ -65,6 +69,7 @@
     appSrv.close();
     counter.close();
     discovery.close();
+    peer.close();
     if (!stopped) node.stop().toCompletionStage().toCompletableFuture().get();
   }
 
@@ -73,6 +78,7 @@
         .replace("\"countLimit\":30", "\"countLimit\":1000").replace("\"connectTimeout\":250", "\"connectTimeout\":5000")
         .replace("\"listen\":\"127.0.0.1:16379\"", "\"listen\":\"127.0.0.1:0\"")
         .replace("\"peer_listen\":\"127.0.0.1:16379\"", "\"peer_listen\":\"127.0.0.1:0\"")
+        .replace("\"peers\":[\"127.0.0.1:16379\"]", "\"peers\":[\"127.0.0.1:" + peer.getLocalPort() + "\"]")
         .replace("\"discovery\":\"127.0.0.1:16379\"", "\"discovery\":\"127.0.0.1:" + discovery.getLocalPort() + "\"")
         .replace("\"counter\":\"127.0.0.1:16379\"", "\"counter\":\"127.0.0.1:" + counter.getLocalPort() + "\"")
         .replace("\"address\":\"127.0.0.1:16379\"", "\"address\":\"127.0.0.1:" + appSrv.getLocalPort() + "\"");
@@ -87,6 +93,7 @@
     if (e instanceof Event.Listed l) {
       return "listed " + l.kind() + " " + l.entries().stream().map(x -> x.srv() + " " + x.condition()).toList();
     }
+    if (e instanceof Event.Heard h) return "heard " + h.from() + " " + new String(h.words(), StandardCharsets.ISO_8859_1);
     return e.getClass().getSimpleName();
   }
 
@@ -287,6 +294,20 @@
     assertEquals("arrived 0 waits 900 probed PASSED [0.6]", next() + " " + next());
   }
 
+  /** A datagram goes out from the address at which the node listens, and a peer is known by the one it sends from. */
+  @Test
+  void datagrams() throws Exception {
+    script = e -> {
+      if (e instanceof Event.Arrived) to.tell(0, "hello".getBytes(StandardCharsets.ISO_8859_1));
+    };
+    say(client(), req(0));
+    DatagramPacket packet = new DatagramPacket(new byte[300], 300);
+    peer.receive(packet);
+    assertEquals("hello", new String(packet.getData(), 0, packet.getLength(), StandardCharsets.ISO_8859_1));
+    peer.send(packet);
+    assertEquals("arrived 0 waits 900 heard 0 hello", next() + " " + next());
+  }
+
   /** Guards against a fault in the module that ends the process: it costs the req that it came with. */
   @Test
   void moduleFails() throws Exception {
