--- a/src/main/java/saltlatch/node/Station.java
+++ b/src/main/java/saltlatch/node/Station.java
@@ -38,7 +38,8 @@
         limits.get("memory_mb").getAsInt(), descriptors,
         time(use, "connectTimeout"), time(use, "connIdle"), time(Reader.part(settings, "familyInfo"), "countLimit"),
         Reader.flag(use, "mayTell"), words(Reader.part(settings, "report"), "fields"),
-        names(settings.getAsJsonArray("categories")), names(settings.getAsJsonArray("contracts")), words(settings, "azs"), words(settings, "machineTypes"),
+        names(settings.getAsJsonArray("categories")), names(settings.getAsJsonArray("contracts")),
+        words(settings, "azs"), words(settings, "machineTypes"),
         TargetList.of(all.getAsJsonObject("known")),
         Reader.site(settings, Long.parseUnsignedLong(all.get("seed").getAsString(), 16)));
   }
