SIGHUP moves discovery and counter; a name's count answers keep their order

Serve installed no handler at all.

Now the configuration is read off the loop; one that can't be used is logged and leaves all as it is. Discovery takes its watch up again at the new address from the version last told. A count call for the new address waits until the calls out at the old one are told (one time limit at most), since the module matches a name's answers by their order; the old connection ends then.

--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -17,6 +17,7 @@
   for i in 1 2 3 4 5 6 7 8; do
     printf '*4\r\n$9\r\nSVC.QUERY\r\n$16\r\n%016d\r\n$16\r\n%016d\r\n$%d\r\n%s\r\n' "$i" "$i" "${#terms}" "$terms" >&3
   done
+  kill -HUP "$node"
   sleep 1.5
   exec 3>&-
 fi
--- a/src/main/java/saltlatch/node/Pilot.java
+++ b/src/main/java/saltlatch/node/Pilot.java
@@ -87,6 +87,14 @@
     if (!station.site().rules().mustFollow()) discovery.follow();
   }
 
+  /** Takes over what a configuration read anew names: discovery and the counter. The rest holds from the start. */
+  void move(Station to) {
+    counters.add(Count.RELOADS);
+    LOG.info("discovery at {}, counter at {}", to.discovery(), to.counter());
+    discovery.move(to.discovery());
+    if (counter != null && to.counter() != null) counter.move(to.counter());
+  }
+
   // ---- the clock and the timers
 
   @Override
--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -19,6 +19,7 @@
 import saltlatch.state.Counters;
 import saltlatch.state.Counters.Count;
 import saltlatch.wire.Door;
+import sun.misc.Signal;
 
 /** Start and stop of one edge node. */
 public final class Serve {
@@ -57,6 +58,7 @@
       err.println("saltlatch serve: configuration " + path + ": " + e);
       return 2;
     }
+    serve.rereadOnHangup(Path.of(path));
     try {
       serve.start(maker).toCompletionStage().toCompletableFuture().get();
     } catch (ExecutionException | InterruptedException e) {
@@ -86,6 +88,15 @@
     return open.future();
   }
 
+  /** SIGHUP would end the process; here it has the configuration read again, and a bad one leaves all as it is. */
+  void rereadOnHangup(Path path) { // the JDK has no other way to handle a signal
+    Signal.handle(new Signal("HUP"), signal -> loop.runOnContext(v ->
+        vertx.executeBlocking(() -> Station.of(Files.readString(path))).onSuccess(pilot::move).onFailure(e -> {
+          counters.add(Count.RELOADS_FAILED);
+          LOG.warn("configuration {} can't be used, the old one stays: {}", path, e.toString());
+        })));
+  }
+
   int port() {
     return door.port();
   }
--- a/src/main/java/saltlatch/node/Station.java
+++ b/src/main/java/saltlatch/node/Station.java
@@ -29,6 +29,9 @@
     JsonObject settings = all.getAsJsonObject("settings");
     JsonObject use = settings.getAsJsonObject("limits");
     JsonObject limits = all.getAsJsonObject("limits");
+    for (String key : List.of("listen", "discovery")) {
+      if (!all.has(key)) throw new IllegalArgumentException(key + " is missing");
+    }
     int descriptors = limits.get("sockets").getAsInt();
     if (descriptors < LEAST_DESCRIPTORS) throw new IllegalArgumentException("limits.sockets " + descriptors + " below "
         + LEAST_DESCRIPTORS);
--- a/src/main/java/saltlatch/wire/CounterClient.java
+++ b/src/main/java/saltlatch/wire/CounterClient.java
@@ -35,7 +35,7 @@
   }
 
   private final NetClient client;
-  private final SocketAddress address;
+  private SocketAddress address;
   private final Desk desk;
   private final Host host;
   private final Counters counters;
@@ -57,10 +57,26 @@
     int at = (int) Math.floorMod(name ^ name >>> 31, (long) LINKS);
     Link link = links[at];
     if (link != null && link.isStuck()) link.end();
-    if (links[at] == null) links[at] = new Link(at);
+    if (links[at] == null) links[at] = new Link(at, null);
     links[at].call(name, "bump " + Long.toHexString(name) + " " + decimal(units) + " " + Math.max(1, keep / 10) + "\r\n");
   }
 
+  /**
+   * Calls go to another address from now on. Guards against a name's answers that overtake each other: what is out on
+   * an old connection is told before the first call of that name goes out on the new one.
+   */
+  public void move(SocketAddress to) {
+    if (address.equals(to)) return;
+    address = to;
+    for (int at = 0; at < LINKS; at++) {
+      Link old = links[at];
+      if (old == null) continue;
+      old.retired = true;
+      if (old.owes()) old.after = links[at] = new Link(at, old);
+      else old.end();
+    }
+  }
+
   /** Plain decimal, four places: totals come to seven digits. */
   static String decimal(double units) {
     long scaled = Math.round(Math.abs(units) * 10_000);
@@ -82,11 +98,15 @@
     private NetSocket socket;
     private long usedAt;
     private boolean closed;
+    private boolean retired; // it takes no new calls and ends once it owes none
+    private Link before; // its names' calls are out there; null: this one's may go out
+    private Link after;
     private final byte[] line = new byte[LONGEST_LINE];
     private int length;
 
-    Link(int at) {
+    Link(int at, Link before) {
       this.at = at;
+      this.before = before;
       usedAt = desk.now();
       client.connect(address).onComplete(done -> {
         if (done.failed()) {
@@ -102,10 +122,22 @@
         socket.handler(this::read);
         socket.exceptionHandler(e -> counters.add(Count.COUNTER_BROKEN));
         socket.closeHandler(v -> end());
-        for (Call c : calls) write(c);
+        start();
       });
     }
 
+    private boolean isOpen() {
+      return socket != null && before == null;
+    }
+
+    private void start() {
+      if (isOpen() && !closed) calls.forEach(this::write);
+    }
+
+    boolean owes() {
+      return calls.stream().anyMatch(c -> !c.told);
+    }
+
     /** Its oldest call is long overdue: the counter has gone silent, or this connection has. */
     boolean isStuck() {
       return !calls.isEmpty() && desk.now() - calls.peek().sent > STUCK * limit;
@@ -119,7 +151,7 @@
       c.limit = desk.at(c.sent + limit, () -> tell(c, c.written ? Ending.TIMED_OUT : Ending.TIMED_OUT_UNWRITTEN, 0));
       calls.add(c);
       usedAt = c.sent;
-      if (socket != null) write(c);
+      if (isOpen()) write(c);
     }
 
     private void write(Call c) {
@@ -165,14 +197,18 @@
       c.limit.drop();
       counters.add(ending == Ending.ANSWERED ? Count.COUNTS_ANSWERED : Count.COUNTS_ENDED_OTHERWISE);
       host.counted(c.name, ending, total, desk.now() - c.sent);
+      if (retired && !owes()) end();
     }
 
     void end() {
       if (closed) return;
       closed = true;
-      links[at] = null;
+      if (links[at] == this) links[at] = null;
       if (socket != null) socket.close();
       for (Call c : calls) tell(c, c.written ? Ending.BROKE_WRITTEN : Ending.CONNECT_FAILED, 0);
+      if (after == null) return;
+      after.before = null;
+      after.start();
     }
   }
 }
--- a/src/main/java/saltlatch/wire/Discovery.java
+++ b/src/main/java/saltlatch/wire/Discovery.java
@@ -29,7 +29,7 @@
   private static final int LONGEST_LINE = 1 << 20; // bytes; a list of thousands of app srvs is shorter
 
   private final HttpClient client;
-  private final SocketAddress address;
+  private SocketAddress address;
   private final Desk desk;
   private final Host host;
   private final Counters counters;
@@ -56,9 +56,17 @@
     request("/api/targets?follow=1&since=" + index, mine);
   }
 
+  /** The list is asked for at another address from now on; a watch that is on goes on there. */
+  public void move(SocketAddress to) {
+    if (address.equals(to)) return;
+    address = to;
+    if (silence != null) follow();
+  }
+
   public void stop() {
     turn++;
     if (silence != null) silence.drop();
+    silence = null;
     if (watch != null) watch.reset();
     watch = null;
   }
