The gap between count calls closes by the time answers come, not by their number

Counted in a copy of the module: 15 to 40 in 100 decisions were made on a share, 5 in 100 units went beyond quotas. Ruled out: lateness of the counter (of 250 to 300 answers in 5 s one or two came after the limit) and a jam (calls were answered at once).

At fault: judgeCounter shrank the gap by a step an answer, which reckons that calls go out every gap. Where reqs come seldomer than that, closing took 300 answers or six seconds, and any single miss in between, as a reset connection or a spoilt answer, opened it again. It now shrinks by the time since the last judgement, a round at most; where the gap is longer, as in a jam of many nodes, nothing changes.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -177,12 +177,11 @@
   private final List<Req> touched = new ArrayList<>();
   private final List<Call> wantCalls = new ArrayList<>();
   private final long started;
-  private long longest; // client timeout
-  private long now;
+  private long now, longest; // the latter: client timeout
   private double counted = 1; // part of this node's charges that calls carried before their window turned
   private int misses; // count calls in a row without an answer
   private double gap; // between count calls; 0: the counter is well
-  private long nextCall, nextGap;
+  private long nextCall, nextGap, judgedAt;
   private double passed; // fading number of passed dispatches
   private int out;
   private double meanValue; // of a unit
@@ -336,12 +335,14 @@
     misses = answered ? 0 : misses + 1;
     double crowd = Math.max(1, site.nodes() / GAP_NODES); // the nodes together must not test it into a jam
     if (answered) {
-      gap *= 1 - gap / (GAP_FADE * crowd);
+      // Guards against a gap that stays with a counter long well where reqs come seldomer than calls may.
+      gap *= Math.exp(-Math.max(gap, Math.min(ROUND, now - judgedAt)) / (GAP_FADE * crowd));
       gap = gap < site.tick() ? 0 : gap;
     } else if ((misses >= MISSES || gap > 0) && now >= nextGap) {
       nextGap = now + ROUND;
       gap = Math.min(GAP_MOST * crowd, Math.max(GAP_FIRST * crowd, gap * GAP_UP));
     }
+    judgedAt = now;
   }
 
   /** Ends the question of admission; the caller gives back what was charged for a denied req. */
@@ -349,8 +350,7 @@
     if (r.over || r.wantEnd != End.NONE) return;
     touch(r);
     Customer c = r.customer;
-    int cap = c.plan.parallel();
-    boolean open = cap <= 0 || c.out < Math.max(1, Math.ceil(cap * c.share));
+    boolean open = c.plan.parallel() <= 0 || c.out < Math.max(1, Math.ceil(c.plan.parallel() * c.share));
     if (!room) {
       double spread = SPREAD_BACK * length(c.plan) * chance.nextDouble();
       long unsure = Math.max(0, nextCall - now) + (long) (gap * chance.nextDouble());
