--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -7,6 +7,8 @@
 flags=$(sed -n 's/^run = "exec java \(.*\) -XX:SharedArchiveFile=.*$/\1/p' deploy/balancer.toml)
 log=target/archive.log
 rm -f target/saltlatch.jsa
+# Netty's native library, which a node would write to $TMPDIR at each start otherwise.
+(cd target && jar xf saltlatch.jar META-INF/native)
 LB_CONFIG=deploy/sample.json sh -c "exec java $flags -XX:ArchiveClassesAtExit=target/saltlatch.jsa -jar target/saltlatch.jar serve" \
   > "$log" 2>&1 &
 node=$!
--- a/src/main/java/saltlatch/node/Pilot.java
+++ b/src/main/java/saltlatch/node/Pilot.java
@@ -84,6 +84,10 @@
     }
     gateway = maker.start(clock.now(), station.site(), this);
     add(listed(station.known(), Event.ListKind.CACHED));
+  }
+
+  /** Once the node serves; where changes must be asked for, the module does. */
+  void follow() {
     if (!station.site().rules().mustFollow()) discovery.follow();
   }
 
@@ -151,7 +155,11 @@
     long rid = e instanceof Event.Arrived a ? a.rid() : e instanceof Event.Ended d ? d.rid()
         : e instanceof Event.Due d ? d.handle() : -1;
     Exchange x = exchanges.find(rid);
-    if (x == null || x.over()) return;
+    if (x != null && !x.over()) abandon(x);
+  }
+
+  @Override
+  public void abandon(Exchange x) {
     x.aborted();
     left(x);
   }
--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -16,6 +16,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import saltlatch.api.Gateway;
+import saltlatch.api.Site;
 import saltlatch.state.Counters;
 import saltlatch.state.Counters.Count;
 import saltlatch.wire.Door;
@@ -27,7 +28,9 @@
   private static final int BYTES_PART = 16; // part of the memory for what reqs hold; the heap is a third of it
   private static final long LATE_MS = 500; // after SIGTERM new connections keep coming for up to 0.4 s
   private static final long LOOK_MS = 20; // between looks whether clients are done
-  private static final long LONGEST_STOP_S = 60; // SIGKILL comes far sooner
+  private static final long MOST_WAIT_MS = 3_000; // SIGKILL comes no sooner than the longest client timeout, if that
+  private static final long KILL_MS = 700; // is no more, and so much on top after SIGTERM
+  private static final long EXIT_MS = 400; // kept of that for the JVM's own end, on part of a core
 
   private final Vertx vertx;
   private final Context loop;
@@ -83,6 +86,7 @@
         door.ready();
         LOG.info("{} serves on {}", station.name(), station.listen());
         open.complete();
+        pilot.follow();
       });
     });
     return open.future();
@@ -101,25 +105,40 @@
     return door.port();
   }
 
-  /** Takes in and answers until the clients are done; done then. */
+  /**
+   * Takes in and answers for as long as SIGKILL leaves time, or until the clients are done; done then. Guards against
+   * clients that have no other connection until this node is up again: what they ask meanwhile would fail. The last
+   * part, one response target, is for what is out already; what is still owed then is aborted, since SIGKILL would lose it,
+   * and what comes in the last moment is denied, so that connections end with all read that has come.
+   */
   Future<Void> stop() {
+    long longest = 0;
+    long target = 0;
+    for (Site.Frontend f : station.site().frontends()) {
+      longest = Math.max(longest, f.clientTimeout() / 10);
+      target = Math.max(target, f.target() / 10);
+    }
+    long last = Math.min(MOST_WAIT_MS, longest) + KILL_MS - EXIT_MS;
+    long turn = Math.max(LATE_MS, last - target);
     Promise<Void> done = Promise.promise();
-    loop.runOnContext(v -> vertx.setTimer(LATE_MS, late -> {
-      door.closeWhenIdle();
-      vertx.setPeriodic(0, LOOK_MS, look -> {
+    loop.runOnContext(v -> {
+      vertx.setTimer(turn, t -> door.closeWhenAnswered());
+      vertx.setTimer(Math.max(turn + LOOK_MS, last), t -> door.refuse());
+      vertx.setTimer(Math.max(turn + LOOK_MS, last) + LOOK_MS, t -> door.closeIdle());
+      vertx.setPeriodic(LATE_MS, LOOK_MS, look -> {
         if (door.links() > 0) return;
         vertx.cancelTimer(look);
         done.complete();
       });
-    }));
+    });
     return done.future().compose(v -> vertx.close());
   }
 
-  /** On SIGTERM. SIGKILL may come first, if clients wait for longer than it does. */
+  /** On SIGTERM. */
   private void terminate() {
     LOG.info("stops");
     try {
-      stop().toCompletionStage().toCompletableFuture().get(LONGEST_STOP_S, TimeUnit.SECONDS);
+      stop().toCompletionStage().toCompletableFuture().get(MOST_WAIT_MS + KILL_MS, TimeUnit.MILLISECONDS);
     } catch (ExecutionException | InterruptedException | TimeoutException e) {
       LOG.warn("not all clients were done: {}", e.toString());
     }
--- a/src/main/java/saltlatch/wire/ClientLink.java
+++ b/src/main/java/saltlatch/wire/ClientLink.java
@@ -70,6 +70,11 @@
     if (!closed && owed.isEmpty()) close();
   }
 
+  void abandon() {
+    List.copyOf(owed).stream().filter(place -> place.answer == null && place.x != null)
+        .forEach(place -> door.host().abandon(place.x));
+  }
+
   private void read(Buffer more) {
     if (broken || closed) return;
     in.feed(more);
@@ -106,7 +111,8 @@
       return;
     }
     Place place = place();
-    place.x = door.host().arrived(req, place);
+    if (door.isRefusing()) place.denied(0);
+    else place.x = door.host().arrived(req, place);
   }
 
   private Place place() {
--- a/src/main/java/saltlatch/wire/Discovery.java
+++ b/src/main/java/saltlatch/wire/Discovery.java
@@ -1,5 +1,6 @@
 package saltlatch.wire;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
@@ -28,7 +29,8 @@
   private static final long SILENT = 60_000; // 6 s: three of the empty lines that come every 2 s
   private static final int LONGEST_LINE = 1 << 20; // bytes; a list of thousands of app srvs is shorter
 
-  private final HttpClient client;
+  private final Vertx vertx;
+  private HttpClient client; // made when first used, which is after the node serves
   private SocketAddress address;
   private final Desk desk;
   private final Host host;
@@ -44,8 +46,15 @@
     this.host = host;
     this.counters = counters;
     this.index = index;
-    client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(1_000)
-        .setDecompressionSupported(false).setIdleTimeout(0));
+    this.vertx = vertx;
+  }
+
+  private Future<HttpClientRequest> get(String path) {
+    if (client == null) {
+      client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(1_000)
+          .setDecompressionSupported(false).setIdleTimeout(0));
+    }
+    return client.request(HttpMethod.GET, address.port(), address.host(), path);
   }
 
   public void follow() {
@@ -73,7 +82,7 @@
 
   public void fetch() {
     counters.add(Count.FETCHES);
-    client.request(HttpMethod.GET, address.port(), address.host(), "/api/targets")
+    get("/api/targets")
         .compose(HttpClientRequest::send)
         .compose(r -> r.body())
         .onSuccess(body -> take(body.toString()))
@@ -81,7 +90,7 @@
   }
 
   private void request(String path, int mine) {
-    client.request(HttpMethod.GET, address.port(), address.host(), path).onComplete(made -> {
+    get(path).onComplete(made -> {
       if (mine != turn) {
         if (made.succeeded()) made.result().reset();
         return;
--- a/src/main/java/saltlatch/wire/Door.java
+++ b/src/main/java/saltlatch/wire/Door.java
@@ -22,6 +22,9 @@
 
     void left(Exchange x);
 
+    /** The req gets its final answer now, since this node ends. */
+    void abandon(Exchange x);
+
     /** Text for the command INFO. */
     String figures();
   }
@@ -33,6 +36,7 @@
   private final Set<ClientLink> open = new LinkedHashSet<>();
   private boolean ready;
   private boolean closing;
+  private boolean refusing;
 
   public Door(Vertx vertx, Host host, Counters counters, int mostLinks) {
     this.host = host;
@@ -58,9 +62,21 @@
     ready = true;
   }
 
-  /** Ends connections from now on as soon as nothing is owed on them. */
-  public void closeWhenIdle() {
+  /**
+   * From now on a connection ends right behind an answer. Guards against a req that crosses the end of an idle one and
+   * is lost with it: whoever has just been answered has not written the next yet.
+   */
+  public void closeWhenAnswered() {
     closing = true;
+  }
+
+  /** Aborts what is still owed and denies what still comes, so that idle connections are all that is left. */
+  public void refuse() {
+    refusing = true;
+    new ArrayList<>(open).forEach(ClientLink::abandon);
+  }
+
+  public void closeIdle() {
     new ArrayList<>(open).forEach(ClientLink::closeIfDone);
   }
 
@@ -77,6 +93,10 @@
     return closing;
   }
 
+  boolean isRefusing() {
+    return refusing;
+  }
+
   Host host() {
     return host;
   }
