The last of the gap closes over a second; where calls use the gap it closes as before

Reckoned: at 50 calls a second the faster closing balances at 15 in 100 calls missing, twice as many as before.

So the step by the time since the last judgement has its own, slower constant (GAP_CLOSE) and only matters where it is larger than the old step: below 7 ms of gap at such rates, and never in a jam of many nodes.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -39,7 +39,8 @@
   static final double GAP_UP = 1.5; // the gap grows by this, once a round, while answers are missing
   static final double GAP_MOST = 2_000; // 200 ms: five tests a second find its return, load nothing
   static final double GAP_NODES = 20; // nodes that may use these gaps together: 2,000 calls a second at first
-  static final double GAP_FADE = 3_300; // 0.33 s: time constant of the gap while answers come
+  static final double GAP_FADE = 3_300; // 0.33 s: time constant of the gap while calls use it and are answered
+  static final double GAP_CLOSE = 10_000; // 1 s: the same where reqs come seldomer than the gap lets calls
   static final double MEMORY = 40_000; // 4 s: an app srv's record fades; tens of dispatches, yet fresh
   static final double TURNS = 3; // turns of the rotation that a record lasts at least: few reqs tell little
   static final double PRIOR = 3; // dispatches at fleet speed assumed of every app srv, steadies the few
@@ -182,9 +183,8 @@
   private int misses; // count calls in a row without an answer
   private double gap; // between count calls; 0: the counter is well
   private long nextCall, nextGap, judgedAt;
-  private double passed; // fading number of passed dispatches
+  private double passed, meanValue; // fading number of passed dispatches; of a unit
   private int out;
-  private double meanValue; // of a unit
   private double memory = MEMORY; // over this an app srv's record fades
   private double unitsSent; // fading, over the cold rule's window
   private double warmSeen; // app srvs, cold ones counted in part
@@ -336,7 +336,7 @@
     double crowd = Math.max(1, site.nodes() / GAP_NODES); // the nodes together must not test it into a jam
     if (answered) {
       // Guards against a gap that stays with a counter long well where reqs come seldomer than calls may.
-      gap *= Math.exp(-Math.max(gap, Math.min(ROUND, now - judgedAt)) / (GAP_FADE * crowd));
+      gap *= Math.exp(-Math.max(gap / GAP_FADE, Math.min(ROUND, now - judgedAt) / GAP_CLOSE) / crowd);
       gap = gap < site.tick() ? 0 : gap;
     } else if ((misses >= MISSES || gap > 0) && now >= nextGap) {
       nextGap = now + ROUND;
