A spoilt answer may have run or been added, and its connection ends

AppLink kept a connection on which a readable value that is no answer had come, and took any line that begins with BUSY for a proof that nothing ran.

Now one Ending, SPOILT_ANSWER, tells the module that it may have run; the connection ends. Half an answer ends when its rest does not come in the time a connection may take to come up; half a counter's line when its call times out. Numbers are read strictly: no names, hexadecimals or infinities, which would have emptied a customer's room for good. A connection rests 3 ms after an answer, so that a copy sent right behind is not the next dispatch's.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -39,8 +39,8 @@
   static final double GAP_UP = 1.5; // the gap grows by this, once a round, while answers are missing
   static final double GAP_MOST = 2_000; // 200 ms: five tests a second find its return, load nothing
   static final double GAP_NODES = 20; // nodes that may use these gaps together: 2,000 calls a second at first
-  static final double GAP_FADE = 3_300; // 0.33 s: time constant of the gap while calls use it and are answered
-  static final double GAP_CLOSE = 10_000; // 1 s: the same where reqs come seldomer than the gap lets calls
+  static final double GAP_FADE = 3_300; // 0.33 s: time constant of the gap while calls use it, answered
+  static final double GAP_CLOSE = 10_000; // 1 s: the same where reqs come seldomer than the gap allows
   static final double MEMORY = 40_000; // 4 s: an app srv's record fades; tens of dispatches, yet fresh
   static final double TURNS = 3; // turns of the rotation that a record lasts at least: few reqs tell little
   static final double PRIOR = 3; // dispatches at fleet speed assumed of every app srv, steadies the few
--- a/src/main/java/saltlatch/state/Pool.java
+++ b/src/main/java/saltlatch/state/Pool.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 
 /** An app srv's idle connections; the one used last is taken first, so that the others can grow old. */
@@ -10,8 +11,15 @@
 
   private final ArrayDeque<Idle<L>> idle = new ArrayDeque<>();
 
-  public L take() {
-    return idle.isEmpty() ? null : idle.pollLast().link();
+  /** One that has been idle since then or before. */
+  public L take(long since) {
+    for (Iterator<Idle<L>> i = idle.descendingIterator(); i.hasNext(); ) {
+      Idle<L> one = i.next();
+      if (one.since() > since) continue;
+      i.remove();
+      return one.link();
+    }
+    return null;
   }
 
   public void put(L link, long now) {
--- a/src/main/java/saltlatch/wire/AppLink.java
+++ b/src/main/java/saltlatch/wire/AppLink.java
@@ -10,6 +10,8 @@
 
 /** One connection to an app srv, with at most one dispatch (or probe) out on it. */
 final class AppLink {
+  private static final Answer SPOILT = Answer.none(Ending.SPOILT_ANSWER);
+
   final int srv;
   private final AppServers owner;
   private final RespReader in = new RespReader();
@@ -22,6 +24,7 @@
   private int dispatch;
   private long sent;
   private Timers.Timer limit;
+  private Timers.Timer rest; // of an answer that has begun to come
 
   AppLink(AppServers owner, int srv) {
     this.owner = owner;
@@ -75,14 +78,18 @@
     in.feed(more);
     try {
       Resp resp = in.next();
-      if (resp == null) return;
+      if (resp == null) {
+        // Guards against an answer whose length is wrong, which would hold its req until the client timeout.
+        if (out && rest == null) rest = owner.desk().at(owner.desk().now() + owner.restTime(), () -> end(SPOILT));
+        return;
+      }
       if (!out) throw new RespReader.Lost("an answer that nothing asked for");
       // Guards against an answer that is taken for that of the next dispatch: what comes behind one was not asked for.
       Answer answer = x == null ? Answer.ofProbe(resp) : Answer.of(resp);
-      if (in.isEmpty()) finish(true, answer);
+      if (in.isEmpty() && answer.ending() != Ending.SPOILT_ANSWER) finish(true, answer);
       else end(answer);
     } catch (RespReader.Lost e) {
-      end(Answer.none(Ending.ERROR_ANSWER));
+      end(SPOILT);
     }
   }
 
@@ -105,6 +112,8 @@
     out = false;
     x = null;
     limit.drop();
+    if (rest != null) rest.drop();
+    rest = null;
     owner.ended(this, open, was, dispatch, answer, owner.desk().now() - sent);
   }
 }
--- a/src/main/java/saltlatch/wire/AppServers.java
+++ b/src/main/java/saltlatch/wire/AppServers.java
@@ -32,6 +32,7 @@
     private final List<AppLink> busy = new ArrayList<>();
   }
 
+  private static final long SETTLING = 30; // 3 ms: what was sent behind an answer, unasked, has come by then
   private static final long SWEEP = 5_000; // 0.5 s between looks for idle connections
 
   private final NetClient client;
@@ -39,6 +40,7 @@
   private final Host host;
   private final Counters counters;
   private final Map<Integer, Srv> srvs = new HashMap<>();
+  private final long connectTime;
   private final long idleTime;
   private final int mostLinks;
   private int links;
@@ -50,6 +52,7 @@
     this.host = host;
     this.counters = counters;
     this.mostLinks = mostLinks;
+    this.connectTime = connectTime;
     this.idleTime = Math.max(idleTime / 2, idleTime - 4 * SWEEP); // before the other side does
     client = Dial.client(vertx, Math.max(1, connectTime / 10));
     sweep();
@@ -108,7 +111,8 @@
   private AppLink link(int srv) {
     Srv s = srvs.get(srv);
     if (s == null) return null;
-    AppLink link = s.pool.take();
+    // Guards against a second copy or noise right behind an answer that is taken for that of the next dispatch.
+    AppLink link = s.pool.take(desk.now() - SETTLING);
     if (link == null) {
       if (links >= mostLinks && !closeOldest()) return null;
       links++;
@@ -135,6 +139,11 @@
     desk.at(desk.now() + SWEEP, this::sweep);
   }
 
+  /** A connection comes up within this, so the rest of an answer that has begun does too. */
+  long restTime() {
+    return connectTime;
+  }
+
   Desk desk() {
     return desk;
   }
--- a/src/main/java/saltlatch/wire/CounterClient.java
+++ b/src/main/java/saltlatch/wire/CounterClient.java
@@ -58,7 +58,7 @@
     Link link = links[at];
     if (link != null && link.isStuck()) link.end();
     if (links[at] == null) links[at] = new Link(at, null);
-    links[at].call(name, "bump " + Long.toHexString(name) + " " + decimal(units) + " " + Math.max(1, keep / 10) + "\r\n");
+    links[at].call(name, "bump " + Long.toHexString(name) + " " + Decimal.text(units) + " " + Math.max(1, keep / 10) + "\r\n");
   }
 
   /**
@@ -77,14 +77,6 @@
     }
   }
 
-  /** Plain decimal, four places: totals come to seven digits. */
-  static String decimal(double units) {
-    long scaled = Math.round(Math.abs(units) * 10_000);
-    String sign = units < 0 && scaled > 0 ? "-" : "";
-    long rest = scaled % 10_000;
-    return sign + scaled / 10_000 + (rest == 0 ? "" : "." + Long.toString(10_000 + rest).substring(1));
-  }
-
   private void sweep() {
     for (Link link : links) {
       if (link != null && (link.calls.isEmpty() && desk.now() - link.usedAt > IDLE || link.isStuck())) link.end();
@@ -148,7 +140,10 @@
       c.name = name;
       c.sent = desk.now();
       c.text = Buffer.buffer(text);
-      c.limit = desk.at(c.sent + limit, () -> tell(c, c.written ? Ending.TIMED_OUT : Ending.TIMED_OUT_UNWRITTEN, 0));
+      c.limit = desk.at(c.sent + limit, () -> {
+        tell(c, c.written ? Ending.TIMED_OUT : Ending.TIMED_OUT_UNWRITTEN, 0);
+        if (length > 0) end(); // half a line for so long is none: nothing behind it would be answered
+      });
       calls.add(c);
       usedAt = c.sent;
       if (isOpen()) write(c);
@@ -180,14 +175,14 @@
       Call c = calls.poll();
       if (c == null) {
         end();
-      } else if (text.startsWith("ok ")) {
-        try {
-          tell(c, Ending.ANSWERED, Double.parseDouble(text.substring(3)));
-        } catch (NumberFormatException e) {
-          tell(c, Ending.BROKE_WRITTEN, 0);
-        }
       } else {
-        tell(c, text.equals("busy") ? Ending.BUSY_ANSWER : Ending.REFUSED_CALL, 0);
+        double total = text.startsWith("ok ") ? Decimal.of(text.substring(3)) : Double.NaN;
+        boolean turnedAway = text.equals("busy");
+        // Guards against a spoilt answer that is taken for a refusal, so that its amount, which was added, is added again.
+        boolean spoilt = Double.isNaN(total) && !turnedAway && !text.equals("error");
+        tell(c, !Double.isNaN(total) ? Ending.ANSWERED : turnedAway ? Ending.BUSY_ANSWER
+            : spoilt ? Ending.SPOILT_ANSWER : Ending.REFUSED_CALL, total);
+        if (spoilt) end();
       }
     }
 
@@ -196,7 +191,7 @@
       c.told = true;
       c.limit.drop();
       counters.add(ending == Ending.ANSWERED ? Count.COUNTS_ANSWERED : Count.COUNTS_ENDED_OTHERWISE);
-      host.counted(c.name, ending, total, desk.now() - c.sent);
+      host.counted(c.name, ending, ending == Ending.ANSWERED ? total : 0, desk.now() - c.sent);
       if (retired && !owes()) end();
     }
 
--- a/src/main/java/saltlatch/wire/Ending.java
+++ b/src/main/java/saltlatch/wire/Ending.java
@@ -5,7 +5,8 @@
 /** Every way in which a dispatch, a probe or a count call can end, and what each tells the module. */
 public enum Ending {
   ANSWERED(Outcome.PASSED),
-  ERROR_ANSWER(Outcome.ERROR), // -ERR, or an answer that makes no sense
+  ERROR_ANSWER(Outcome.ERROR),
+  SPOILT_ANSWER(Outcome.BROKEN), // what can't be read: it may have run, and the connection is of no further use
   BUSY_ANSWER(Outcome.FULL), // -BUSY, busy: it never ran
   REFUSED_CALL(Outcome.NOT_SENT), // the counter's error: no such call, nothing added
   CONNECT_FAILED(Outcome.NOT_CONNECTED), // refused, or did not come up in time
--- a/src/main/java/saltlatch/wire/RespReader.java
+++ b/src/main/java/saltlatch/wire/RespReader.java
@@ -110,7 +110,7 @@
   private static int number(String text, int most) throws Lost {
     try {
       int n = Integer.parseInt(text);
-      if (n >= -1 && n <= most) return n;
+      if (n >= -1 && n <= most && !text.startsWith("+")) return n;
     } catch (NumberFormatException e) {
       // falls through: as good as a number out of range
     }
--- a/src/test/java/saltlatch/node/NodeTest.java
+++ b/src/test/java/saltlatch/node/NodeTest.java
@@ -206,6 +206,7 @@
     String[] got = {"$2 hi", "-ERR aborted", "-ERR aborted", "-ERR aborted"};
     Socket s = null;
     for (int i = 0; i < answers.length; i++) {
+      Thread.sleep(10); // at least: the connection has settled after its last answer
       say(c, req(i));
       assertEquals("arrived " + i + " waits 900", next());
       if (s == null) s = accept(appSrv);
@@ -221,6 +222,46 @@
     assertEquals("arrived 4 waits 900 ended 4/0 NOT_CONNECTED", next() + " " + next());
   }
 
+  /** An answer that can't be read is a failed dispatch that may have run, and nothing more goes out on its connection. */
+  @Test
+  void spoiltAnswers() throws Exception {
+    script = e -> {
+      if (e instanceof Event.Arrived) to.dispatch(rid(e), 0, 80_000);
+      if (e instanceof Event.Ended d) to.abort(d.rid());
+    };
+    Socket c = client();
+    String[] answers = {"+OK\r\n", ":7\r\n", "*2\r\n$-1\r\n$-1\r\n", "-BUSYX\r\n", "*1\r\n$3000000000\r\nxx", "\0\1\r\n",
+        "*1\r\n$9\r\nhalf of it"};
+    for (int i = 0; i < answers.length; i++) {
+      say(c, req(i));
+      Socket s = accept(appSrv);
+      lines(s, 9);
+      say(s, answers[i]);
+      assertEquals("arrived " + i + " waits 900 ended " + i + "/0 BROKEN closed", next() + " " + next() + " " + line(s));
+      assertEquals("-ERR aborted", line(c));
+    }
+  }
+
+  /** A counter's answer with no number in it may have been added; its connection ends, and so does half a line's. */
+  @Test
+  void spoiltCounterAnswers() throws Exception {
+    script = e -> {
+      if (e instanceof Event.Arrived) to.count(255, 1, 40_000);
+    };
+    Socket c = client();
+    String[] answers = {"ok NaN\r\n", "noise\r\n", "ok 0x1p3\r\n", "ok", "busy\r\n", "error\r\n"};
+    String[] told = {"BROKEN", "BROKEN", "BROKEN", "LATE", "FULL", "NOT_SENT"};
+    Socket s = null;
+    for (int i = 0; i < answers.length; i++) {
+      say(c, req(i));
+      if (i < 5) s = accept(counter);
+      line(s);
+      say(s, answers[i]);
+      assertEquals("arrived " + i + " waits 900 counted 255 " + told[i] + " 0.0", next() + " " + next());
+      if (i < 4) assertEquals("closed", line(s));
+    }
+  }
+
   /** A dispatch given up ends its connection; an answer that comes with too much is not kept for the next one. */
   @Test
   void givenUpAndLeftOver() throws Exception {
--- a/src/test/java/saltlatch/wire/WireTest.java
+++ b/src/test/java/saltlatch/wire/WireTest.java
@@ -84,7 +84,8 @@
     StringBuilder seen = new StringBuilder();
     for (String text : new String[] {"*3\r\n$2\r\nok\r\n$-1\r\n$22\r\ninflight=7,util=0.61,q\r\n",
         "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n",
-        "-ERR failed inflight=7\r\n", "-ERR failed\r\n", "-BUSY\r\n", "+OK\r\n", "$-1\r\n", "*0\r\n"}) {
+        "-ERR failed inflight=7\r\n", "-ERR failed\r\n", "-BUSY\r\n", "+OK\r\n", "$-1\r\n", "*0\r\n", "-BUSYX\r\n",
+        "*3\r\n$2\r\nok\r\n$9\r\ncost=-1e9\r\n$23\r\ninflight=NaN,util=1e999\r\n"}) {
       Answer a = Answer.of(read(text));
       seen.append(a.ending().outcome()).append(' ').append(a.value() == null ? "-" : new String(a.value())).append(' ')
           .append(Answer.field(a.load(), "inflight")).append(' ').append(Answer.field(a.load(), "util")).append('\n');
@@ -95,9 +96,11 @@
         ERROR - 7.0 0.0
         ERROR - 0.0 0.0
         FULL - 0.0 0.0
-        ERROR - 0.0 0.0
-        ERROR - 0.0 0.0
-        ERROR - 0.0 0.0
+        BROKEN - 0.0 0.0
+        BROKEN - 0.0 0.0
+        BROKEN - 0.0 0.0
+        BROKEN - 0.0 0.0
+        PASSED ok 0.0 0.0
         """, seen.toString());
   }
 
@@ -109,6 +112,7 @@
     assertEquals("""
         ANSWERED may have run
         ERROR_ANSWER may have run
+        SPOILT_ANSWER may have run
         BUSY_ANSWER never ran
         REFUSED_CALL never ran
         CONNECT_FAILED never ran
@@ -123,8 +127,8 @@
 
   @Test
   void amounts() {
-    assertEquals("0 -2.5000 4 0.0001 1000000000 0", CounterClient.decimal(0) + " " + CounterClient.decimal(-2.5) + " "
-        + CounterClient.decimal(4) + " " + CounterClient.decimal(1e-4) + " " + CounterClient.decimal(1e9) + " "
-        + CounterClient.decimal(-1e-9));
+    assertEquals("0 -2.5000 4 0.0001 1000000000 0", Decimal.text(0) + " " + Decimal.text(-2.5) + " "
+        + Decimal.text(4) + " " + Decimal.text(1e-4) + " " + Decimal.text(1e9) + " "
+        + Decimal.text(-1e-9));
   }
 }
