Strangers get an error, mute connections end, and limits follow the descriptors

Now units, sets, verbs and keys are held to the settings, no name comes twice, and an id that is held is nobody else's. A connection without a whole command for 2 s ends, with an error line if it holds half of one. Room is made by one idle for 2 s, then by the oldest silent one, then by an idle one. Clients get half of the descriptors, app servers what is left. Tried and taken back: sparing silent connections younger than 0.25 s, since a crowd then ends idle ones of usual clients (test).

--- a/src/main/java/saltlatch/node/Pilot.java
+++ b/src/main/java/saltlatch/node/Pilot.java
@@ -74,7 +74,7 @@
   /** Starts the module on the list last known; the sockets of the client side open as they are needed. */
   void start(Gateway.Maker maker) {
     appServers = new AppServers(vertx, this, this, counters, station.connectTime(), station.idleTime(),
-        station.links());
+        station.appSrvLinks());
     if (station.counter() != null) {
       counter = new CounterClient(vertx, station.counter(), this, this, counters, station.countLimit());
     }
@@ -169,7 +169,8 @@
     int frontend = frontends.find(req.frontend);
     int plan = plans.find(req.plan);
     counters.add(Count.REQS);
-    if (frontend < 0 || plan < 0) {
+    // Guards against a stranger who uses the id of a req that is out: an app srv would take it for a second copy.
+    if (!station.allows(req, frontend, plan) || exchanges.holds(req.id())) {
       counters.add(Count.REQS_UNKNOWN);
       client.aborted();
       return null;
--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -49,7 +49,7 @@
     loop = vertx.getOrCreateContext();
     loop.exceptionHandler(this::unexpected);
     pilot = new Pilot(vertx, loop, station, counters, station.memoryMb() * 1024L * 1024 / BYTES_PART);
-    door = new Door(vertx, pilot, counters, station.links());
+    door = new Door(vertx, pilot, pilot, counters, station.clientLinks());
   }
 
   /** Returns a code to end with, or 0 once the node serves. */
--- a/src/main/java/saltlatch/node/Station.java
+++ b/src/main/java/saltlatch/node/Station.java
@@ -8,20 +8,34 @@
 import java.util.List;
 import saltlatch.api.Site;
 import saltlatch.simhost.Reader;
+import saltlatch.wire.Request;
 import saltlatch.wire.TargetList;
 
 /** Where this node stands and what it may use, decoded once from its configuration. Times are tenths of a ms. */
 record Station(String name, SocketAddress listen, SocketAddress discovery, SocketAddress counter,
     SocketAddress peerListen, List<SocketAddress> peers, SocketAddress peersAll, int memoryMb, int descriptors,
-    long connectTime, long idleTime, long countLimit, boolean mayTell, List<String> loadFields, List<String> frontends,
+    long connectTime, long idleTime, long countLimit, boolean mayTell, double mostUnits,
+    List<String> loadFields, List<String> frontends,
     List<String> plans, List<String> zones, List<String> types, TargetList known, Site site) {
 
-  private static final int OWN_DESCRIPTORS = 128; // the JVM's own, the counter's 32, discovery, listening, spare
-  private static final int LEAST_DESCRIPTORS = OWN_DESCRIPTORS + 64; // half for clients, half for app srvs
+  private static final int OWN_DESCRIPTORS = 72; // the JVM's own, the counter's, discovery, listening, just accepted
+  private static final int LEAST_DESCRIPTORS = OWN_DESCRIPTORS + 64;
 
-  /** Connections that may be open to each side: clients, app srvs. */
-  int links() {
-    return (descriptors - OWN_DESCRIPTORS) / 2;
+  /** Connections that clients may have open: a third of all descriptors for reqs, half as many that say nothing yet. */
+  int clientLinks() {
+    return Math.min(descriptors / 2, (descriptors - OWN_DESCRIPTORS) * 3 / 5);
+  }
+
+  int appSrvLinks() {
+    return descriptors - OWN_DESCRIPTORS - clientLinks();
+  }
+
+  /** Whether the settings know such a req. Guards against a customer's count that a stranger's huge amount fills. */
+  boolean allows(Request req, int frontend, int plan) {
+    if (frontend < 0 || plan < 0) return false;
+    Site.Effect effect = site.frontends().get(frontend).effect();
+    return req.units <= mostUnits && req.width <= site.nodes() && req.first < Math.max(1, site.nodes())
+        && req.query == (effect == Site.Effect.REPLAYABLE) && (req.keyed || effect != Site.Effect.UNIQUED);
   }
 
   static Station of(String text) {
@@ -40,7 +54,8 @@
         address(all, "counter"), address(all, "peer_listen"), peers, address(all, "peers_all"),
         limits.get("memory_mb").getAsInt(), descriptors,
         time(use, "connectTimeout"), time(use, "connIdle"), time(Reader.part(settings, "familyInfo"), "countLimit"),
-        Reader.flag(use, "mayTell"), words(Reader.part(settings, "report"), "fields"),
+        Reader.flag(use, "mayTell"), most(Reader.part(settings, "familyInfo"), "unitsTop"),
+        words(Reader.part(settings, "report"), "fields"),
         names(settings.getAsJsonArray("categories")), names(settings.getAsJsonArray("contracts")),
         words(settings, "azs"), words(settings, "machineTypes"),
         TargetList.of(all.getAsJsonObject("known")),
@@ -51,6 +66,10 @@
     return from.has(key) ? Math.round(from.get(key).getAsDouble() * 10) : 0;
   }
 
+  private static double most(JsonObject from, String key) {
+    return from.has(key) ? from.get(key).getAsDouble() : Double.MAX_VALUE;
+  }
+
   private static List<String> names(JsonArray from) {
     List<String> names = new ArrayList<>();
     if (from != null) from.forEach(e -> names.add(e.getAsJsonObject().get("name").getAsString()));
--- a/src/main/java/saltlatch/wire/ClientLink.java
+++ b/src/main/java/saltlatch/wire/ClientLink.java
@@ -47,10 +47,13 @@
   private final ArrayDeque<Place> owed = new ArrayDeque<>();
   private boolean broken; // its framing is lost: nothing more is read
   private boolean closed;
+  private boolean spoke;
+  private long usedAt; // acceptance, the last whole command, or the first byte of the next one
 
   ClientLink(Door door, NetSocket socket) {
     this.door = door;
     this.socket = socket;
+    usedAt = door.desk().now();
     socket.handler(this::read);
     socket.exceptionHandler(e -> door.counters().add(Count.CLIENTS_BROKEN));
     socket.closeHandler(v -> ended());
@@ -61,11 +64,25 @@
     return owed.isEmpty();
   }
 
+  long usedAt() {
+    return usedAt;
+  }
+
   void close() {
     closed = true;
+    door.gone(this);
     socket.close();
   }
 
+  /** Ends it if it has sent no whole command, or half of one, since long before. */
+  void closeIfMute(long since) {
+    if (closed || usedAt > since || !owed.isEmpty() || spoke && in.isEmpty()) return;
+    door.counters().add(Count.CLIENTS_MUTE);
+    broken = true;
+    if (in.isEmpty()) close();
+    else say("-ERR command incomplete");
+  }
+
   void closeIfDone() {
     if (!closed && owed.isEmpty()) close();
   }
@@ -77,15 +94,21 @@
 
   private void read(Buffer more) {
     if (broken || closed) return;
+    if (in.isEmpty()) usedAt = door.desk().now();
     in.feed(more);
     try {
-      for (Resp command = in.next(); command != null && !closed; command = in.next()) take(command);
+      for (Resp command = in.next(); command != null && !closed; command = in.next()) {
+        usedAt = door.desk().now();
+        spoke = true;
+        door.spoke(this);
+        take(command);
+      }
     } catch (RespReader.Lost e) {
       door.counters().add(Count.COMMANDS_LOST_FRAMING);
       broken = true;
       say("-ERR Protocol error: " + e.getMessage());
     }
-    if (owed.size() >= MOST_OWED) socket.pause();
+    if (broken || owed.size() >= MOST_OWED) socket.pause();
   }
 
   private void take(Resp command) throws RespReader.Lost {
@@ -139,7 +162,7 @@
 
   private void ended() {
     closed = true;
-    door.gone(this);
+    door.ended(this);
     for (Place place : owed) {
       if (place.x != null && place.answer == null) door.host().left(place.x);
     }
--- a/src/main/java/saltlatch/wire/Door.java
+++ b/src/main/java/saltlatch/wire/Door.java
@@ -8,6 +8,7 @@
 import io.vertx.core.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import saltlatch.state.Counters;
 import saltlatch.state.Counters.Count;
@@ -29,16 +30,23 @@
     String figures();
   }
 
+  private static final long MUTE = 20_000; // 2 s: a connection with no open req may be closed after that
+  private static final long SWEEP = 2_500; // 0.25 s between looks, so that a silent one ends well within 3 s
+
   private final Host host;
   private final Counters counters;
   private final NetServer server;
   private final int mostLinks;
-  private final Set<ClientLink> open = new LinkedHashSet<>();
+  private final Desk desk;
+  private final Set<ClientLink> silent = new LinkedHashSet<>(); // no whole command yet, oldest first
+  private final Set<ClientLink> known = new LinkedHashSet<>(); // the one that spoke last comes last
+  private int open; // connections, those that are just ending too
   private boolean ready;
   private boolean closing;
   private boolean refusing;
 
-  public Door(Vertx vertx, Host host, Counters counters, int mostLinks) {
+  public Door(Vertx vertx, Desk desk, Host host, Counters counters, int mostLinks) {
+    this.desk = desk;
     this.host = host;
     this.counters = counters;
     this.mostLinks = mostLinks;
@@ -49,6 +57,7 @@
   }
 
   public Future<?> open(SocketAddress at) {
+    sweep();
     return server.listen(at);
   }
 
@@ -73,16 +82,16 @@
   /** Aborts what is still owed and denies what still comes, so that idle connections are all that is left. */
   public void refuse() {
     refusing = true;
-    new ArrayList<>(open).forEach(ClientLink::abandon);
+    all().forEach(ClientLink::abandon);
   }
 
   public void closeIdle() {
-    new ArrayList<>(open).forEach(ClientLink::closeIfDone);
+    all().forEach(ClientLink::closeIfDone);
   }
 
   /** Clients' connections that are open. */
   public int links() {
-    return open.size();
+    return open;
   }
 
   boolean isReady() {
@@ -105,22 +114,62 @@
     return counters;
   }
 
+  private List<ClientLink> all() {
+    List<ClientLink> all = new ArrayList<>(silent);
+    all.addAll(known);
+    return all;
+  }
+
+  Desk desk() {
+    return desk;
+  }
+
+  void spoke(ClientLink link) {
+    silent.remove(link);
+    known.remove(link);
+    known.add(link);
+  }
+
+  void ended(ClientLink link) {
+    open--;
+    gone(link);
+  }
+
   void gone(ClientLink link) {
-    open.remove(link);
+    silent.remove(link);
+    known.remove(link);
+  }
+
+  /** Guards against connections that say nothing, or half a command and no more: they are owed an end within 3 s. */
+  private void sweep() {
+    all().forEach(link -> link.closeIfMute(desk.now() - MUTE));
+    desk.at(desk.now() + SWEEP, this::sweep);
+  }
+
+  /**
+   * Guards against clients crowded out by connections that say nothing, or that asked once and stay: first goes the one
+   * still for longest, if no client can count on it any more; then the oldest that has said nothing; then one that is idle
+   * just now, whose client may ask again on a new connection.
+   */
+  private ClientLink leastNeeded() {
+    ClientLink idle = known.stream().filter(ClientLink::owesNothing).findFirst().orElse(null);
+    ClientLink mute = silent.isEmpty() ? null : silent.iterator().next();
+    if (idle != null && idle.usedAt() <= desk.now() - MUTE) return idle;
+    return mute != null ? mute : idle;
   }
 
   private void accept(NetSocket socket) {
     counters.add(Count.CLIENTS_ACCEPTED);
-    if (open.size() >= mostLinks) {
+    if (silent.size() + known.size() >= mostLinks) {
       counters.add(Count.CLIENTS_OVER_LIMIT);
-      // The oldest one on which nothing is owed makes room: its client sends on a new connection.
-      ClientLink idle = open.stream().filter(ClientLink::owesNothing).findFirst().orElse(null);
-      if (idle == null) {
+      ClientLink least = leastNeeded();
+      if (least == null) {
         socket.close();
         return;
       }
-      idle.close();
+      least.close();
     }
-    open.add(new ClientLink(this, socket));
+    open++;
+    silent.add(new ClientLink(this, socket));
   }
 }
--- a/src/main/java/saltlatch/wire/Request.java
+++ b/src/main/java/saltlatch/wire/Request.java
@@ -2,7 +2,9 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /** A client's command, decoded once; it is passed on with another {@code d} and otherwise as it came. */
 public final class Request {
@@ -16,6 +18,8 @@
   public final int width;
   public final int first;
   public final boolean repeat;
+  public final boolean query; // else a submit
+  public final boolean keyed;
   private final byte[] verb;
   private final byte[] customerText;
   private final byte[] id;
@@ -40,9 +44,12 @@
     id = bytes(words, 2);
     body = words.size() > 4 ? bytes(words, 4) : null;
     String verbText = new String(verb, StandardCharsets.ISO_8859_1);
-    must(verbText.equals("SVC.QUERY") || verbText.equals("SVC.SUBMIT"));
+    query = verbText.equals("SVC.QUERY");
+    must(query || verbText.equals("SVC.SUBMIT"));
     must(customerText.length == 16 && id.length > 0 && id.length <= 64);
-    customer = Long.parseUnsignedLong(new String(customerText, StandardCharsets.ISO_8859_1), 16);
+    String digits = new String(customerText, StandardCharsets.ISO_8859_1);
+    must(digits.charAt(0) != '+');
+    customer = Long.parseUnsignedLong(digits, 16);
     must(customer >= 0 && customer < 1L << 33);
     String terms = new String(bytes(words, 3), StandardCharsets.ISO_8859_1);
     must(terms.length() <= LONGEST_TERMS);
@@ -50,9 +57,11 @@
     String plan = null;
     long wait = -1;
     double units = 1;
-    int width = 0;
-    int first = 0;
+    long width = 0;
+    long first = 0;
     boolean repeat = false;
+    boolean keyed = false;
+    Set<String> seen = new HashSet<>();
     int cut = 0;
     int cutEnd = 0;
     for (int at = 0; at < terms.length(); ) {
@@ -61,30 +70,34 @@
       int is = terms.indexOf('=', at);
       must(is > at && is < end);
       String value = terms.substring(is + 1, end);
+      must(seen.add(terms.substring(at, is)));
       switch (terms.substring(at, is)) {
         case "c" -> frontend = value;
         case "t" -> plan = value;
         case "d" -> {
-          wait = Long.parseLong(value);
+          wait = Decimal.whole(value);
           cut = is + 1;
           cutEnd = end;
         }
         case "r" -> repeat = value.equals("1");
-        case "units" -> units = Double.parseDouble(value);
-        case "spread" -> width = Integer.parseInt(value);
-        case "first" -> first = Integer.parseInt(value);
+        case "units" -> units = Decimal.of(value);
+        case "spread" -> width = Decimal.whole(value);
+        case "first" -> first = Decimal.whole(value);
+        case "k" -> keyed = !value.isEmpty();
         default -> { }
       }
       at = end + 1;
     }
     must(frontend != null && plan != null && wait >= 0 && wait < 1L << 31);
-    must(units >= 0 && units < 1e9 && width >= 0 && first >= 0);
+    must(!seen.contains("spread") || width > 0);
+    must(units > 0 && units < 1e9 && width >= 0 && width < 1 << 20 && first >= 0 && first < 1 << 20);
     this.frontend = frontend;
     this.plan = plan;
     this.units = units;
-    this.width = width;
-    this.first = first;
+    this.width = (int) width;
+    this.first = (int) first;
     this.repeat = repeat;
+    this.keyed = keyed;
     waitMs = wait;
     termsBefore = terms.substring(0, cut).getBytes(StandardCharsets.ISO_8859_1);
     termsAfter = terms.substring(cutEnd).getBytes(StandardCharsets.ISO_8859_1);
@@ -110,6 +123,11 @@
         + (body == null ? 0 : body.length);
   }
 
+  /** Its id, which no two reqs have. */
+  public String id() {
+    return new String(id, StandardCharsets.ISO_8859_1);
+  }
+
   private static byte[] bytes(List<Resp> words, int at) {
     return ((Resp.Bulk) words.get(at)).bytes();
   }
--- a/src/test/java/saltlatch/node/NodeTest.java
+++ b/src/test/java/saltlatch/node/NodeTest.java
@@ -193,6 +193,60 @@
     assertEquals("-ERR aborted -BUSY", lines(good, 2));
   }
 
+  /** What the settings don't know, or a stranger with the id of a req that is out, gets an error and nothing else. */
+  @Test
+  void strangers() throws Exception {
+    script = e -> {
+      if (e instanceof Event.Arrived) to.count(255, 1, 40_000);
+    };
+    Socket c = client();
+    say(c, req(0));
+    accept(counter);
+    assertEquals("arrived 0 waits 900", next());
+    Socket bad = client();
+    String[] wrong = {req(0), req(1).replace("units=1", "units=9"), req(1).replace("spread=1", "spread=2"),
+        req(1).replace("$9\r\nSVC.QUERY", "$10\r\nSVC.SUBMIT"),
+        req(1).replace("$39", "$44").replace(",n=", ",first=1")};
+    for (String one : wrong) {
+      say(bad, one);
+      assertEquals("-ERR aborted", line(bad), one);
+    }
+    assertEquals(null, seen.peek());
+  }
+
+  /** A connection that says nothing, or half a command, ends within 3 s; one that has spoken stays. */
+  @Test
+  void muteClients() throws Exception {
+    script = e -> to.deny(rid(e), 0);
+    Socket usual = client();
+    say(usual, req(0));
+    assertEquals("-BUSY", line(usual));
+    long before = System.nanoTime();
+    Socket silent = client();
+    Socket half = client();
+    say(half, req(1).substring(0, 30));
+    assertEquals("closed -ERR command incomplete closed", line(silent) + " " + lines(half, 2));
+    assertTrue(System.nanoTime() - before < 3_000_000_000L);
+    say(usual, req(2));
+    assertEquals("-BUSY", line(usual));
+  }
+
+  /** Clients are not crowded out by as many silent connections as the node may have; the oldest of those make room. */
+  @Test
+  void silentCrowd() throws Exception {
+    script = e -> to.deny(rid(e), 0);
+    Socket usual = client();
+    say(usual, req(0));
+    assertEquals("-BUSY", line(usual));
+    Socket oldest = client();
+    for (int i = 0; i < 520; i++) client();
+    Socket newest = client();
+    say(newest, req(1));
+    assertEquals("-BUSY closed", line(newest) + " " + line(oldest));
+    say(usual, req(2));
+    assertEquals("-BUSY", line(usual));
+  }
+
   /** An app srv's connection is used again, and each way it can end tells the module what it must. */
   @Test
   void dispatchesAndTheirEnds() throws Exception {
--- a/src/test/java/saltlatch/wire/WireTest.java
+++ b/src/test/java/saltlatch/wire/WireTest.java
@@ -75,7 +75,12 @@
         {"SVC.QUERY", "b4d65521", id, "c=a,t=b,d=1"}, {"SVC.QUERY", "00000000b4d6552x", id, "c=a,t=b,d=1"},
         {"SVC.QUERY", "0000000200000000", id, "c=a,t=b,d=1"}, {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b"},
         {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=x"}, {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=1,units=-1"},
-        {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=1,units=NaN"}, {"SVC.QUERY", "00000000b4d65521", id, "c"}};
+        {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=1,units=NaN"}, {"SVC.QUERY", "00000000b4d65521", id, "c"},
+        {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=1,units=1,units=2"},
+        {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=+1"}, {"SVC.QUERY", "00000000b4d65521", "", "c=a,t=b,d=1"},
+        {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=1,units=0"},
+        {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=1,units=0x1p1"},
+        {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=1,spread=0"}};
     for (String[] words : bad) assertEquals(null, Request.of(words(words)), String.join(" ", words));
   }
 
