--- a/src/main/java/saltlatch/wire/Door.java
+++ b/src/main/java/saltlatch/wire/Door.java
@@ -50,8 +50,9 @@
     this.host = host;
     this.counters = counters;
     this.mostLinks = mostLinks;
+    // Guards against a crowd that connects at once: past a short backlog usual clients would be turned away with it.
     server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true)
-        .setAcceptBacklog(Math.max(64, mostLinks)));
+        .setAcceptBacklog(16 * mostLinks));
     server.connectHandler(this::accept);
     server.exceptionHandler(e -> counters.add(Count.CLIENTS_BROKEN));
   }
