Read over: an id is decoded once, a counter's word and a place's state are said once

No change of behaviour. The text of a req's id was made three times a req; now once, when it is decoded. What a counter's answer without a total means is one switch. Whether a place still waits for its answer was asked in two forms. The end of a planned stop was reckoned twice. Two tests shared their start.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 test:
 	mvn -B verify
 
-# javac's lints as errors (of signals the JDK has but its own handler, which javac warns of whatever it is told), the module's limits, no tabs and no long lines.
+# javac's lints as errors, the module's limits, no tabs and no long lines. The JDK handles signals by a class of its own
+# alone, of which javac warns whatever it is told.
 lint:
 	@out=$$(mvn -B -DskipTests clean compile) || { echo "$$out"; exit 1; }; \
 	  ! echo "$$out" | grep WARNING | grep -v 'sun.misc.Signal'
--- a/src/main/java/saltlatch/node/Pilot.java
+++ b/src/main/java/saltlatch/node/Pilot.java
@@ -170,7 +170,7 @@
     int plan = plans.find(req.plan);
     counters.add(Count.REQS);
     // Guards against a stranger who uses the id of a req that is out: an app srv would take it for a second copy.
-    if (!station.allows(req, frontend, plan) || exchanges.holds(req.id())) {
+    if (!station.allows(req, frontend, plan) || exchanges.holds(req.id)) {
       counters.add(Count.REQS_UNKNOWN);
       client.aborted();
       return null;
--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -120,11 +120,12 @@
     }
     long last = Math.min(MOST_WAIT_MS, longest) + KILL_MS - EXIT_MS;
     long turn = Math.max(LATE_MS, last - target);
+    long end = Math.max(turn + LOOK_MS, last);
     Promise<Void> done = Promise.promise();
     loop.runOnContext(v -> {
       vertx.setTimer(turn, t -> door.closeWhenAnswered());
-      vertx.setTimer(Math.max(turn + LOOK_MS, last), t -> door.refuse());
-      vertx.setTimer(Math.max(turn + LOOK_MS, last) + LOOK_MS, t -> door.closeIdle());
+      vertx.setTimer(end, t -> door.refuse());
+      vertx.setTimer(end + LOOK_MS, t -> door.closeIdle());
       vertx.setPeriodic(LATE_MS, LOOK_MS, look -> {
         if (door.links() > 0) return;
         vertx.cancelTimer(look);
--- a/src/main/java/saltlatch/state/Exchanges.java
+++ b/src/main/java/saltlatch/state/Exchanges.java
@@ -26,7 +26,7 @@
     Exchange x = new Exchange(next++, req, client);
     bytes += req.size() + OWN_BYTES;
     all.put(x.rid, x);
-    ids.add(req.id());
+    ids.add(req.id);
     return x;
   }
 
@@ -52,7 +52,7 @@
   public void release(Exchange x) {
     if (!x.idle() || all.remove(x.rid) == null) return;
     bytes -= x.req.size() + OWN_BYTES;
-    ids.remove(x.req.id());
+    ids.remove(x.req.id);
   }
 
   public int size() {
--- a/src/main/java/saltlatch/wire/ClientLink.java
+++ b/src/main/java/saltlatch/wire/ClientLink.java
@@ -35,6 +35,11 @@
       fill(Answer.line("-ERR aborted"));
     }
 
+    /** Its req is held and has no final answer yet. */
+    private boolean waits() {
+      return x != null && answer == null;
+    }
+
     private void fill(Buffer text) {
       answer = text;
       flush();
@@ -88,8 +93,7 @@
   }
 
   void abandon() {
-    List.copyOf(owed).stream().filter(place -> place.answer == null && place.x != null)
-        .forEach(place -> door.host().abandon(place.x));
+    List.copyOf(owed).stream().filter(Place::waits).forEach(place -> door.host().abandon(place.x));
   }
 
   private void read(Buffer more) {
@@ -164,7 +168,7 @@
     closed = true;
     door.ended(this);
     for (Place place : owed) {
-      if (place.x != null && place.answer == null) door.host().left(place.x);
+      if (place.waits()) door.host().left(place.x);
     }
     owed.clear();
   }
--- a/src/main/java/saltlatch/wire/CounterClient.java
+++ b/src/main/java/saltlatch/wire/CounterClient.java
@@ -177,21 +177,27 @@
         end();
       } else {
         double total = text.startsWith("ok ") ? Decimal.of(text.substring(3)) : Double.NaN;
-        boolean turnedAway = text.equals("busy");
-        // Guards against a spoilt answer that is taken for a refusal, so that its amount, which was added, is added again.
-        boolean spoilt = Double.isNaN(total) && !turnedAway && !text.equals("error");
-        tell(c, !Double.isNaN(total) ? Ending.ANSWERED : turnedAway ? Ending.BUSY_ANSWER
-            : spoilt ? Ending.SPOILT_ANSWER : Ending.REFUSED_CALL, total);
-        if (spoilt) end();
+        Ending ending = Double.isNaN(total) ? withoutTotal(text) : Ending.ANSWERED;
+        tell(c, ending, ending == Ending.ANSWERED ? total : 0);
+        if (ending == Ending.SPOILT_ANSWER) end();
       }
     }
 
+    /** Guards against a spoilt answer that is taken for a refusal, so that its amount, which was added, is added again. */
+    private static Ending withoutTotal(String text) {
+      return switch (text) {
+        case "busy" -> Ending.BUSY_ANSWER;
+        case "error" -> Ending.REFUSED_CALL;
+        default -> Ending.SPOILT_ANSWER;
+      };
+    }
+
     private void tell(Call c, Ending ending, double total) {
       if (c.told) return;
       c.told = true;
       c.limit.drop();
       counters.add(ending == Ending.ANSWERED ? Count.COUNTS_ANSWERED : Count.COUNTS_ENDED_OTHERWISE);
-      host.counted(c.name, ending, ending == Ending.ANSWERED ? total : 0, desk.now() - c.sent);
+      host.counted(c.name, ending, total, desk.now() - c.sent);
       if (retired && !owes()) end();
     }
 
--- a/src/main/java/saltlatch/wire/Request.java
+++ b/src/main/java/saltlatch/wire/Request.java
@@ -10,6 +10,7 @@
 public final class Request {
   private static final int LONGEST_TERMS = 1024; // bytes; with more it is no command of ours
 
+  public final String id; // no two reqs have the same
   public final long customer;
   public final String frontend;
   public final String plan;
@@ -22,7 +23,7 @@
   public final boolean keyed;
   private final byte[] verb;
   private final byte[] customerText;
-  private final byte[] id;
+  private final byte[] idText;
   private final byte[] termsBefore; // the d's value
   private final byte[] termsAfter;
   private final byte[] body; // null: none
@@ -41,12 +42,13 @@
     for (Resp w : words) must(w instanceof Resp.Bulk b && b.bytes() != null);
     verb = bytes(words, 0);
     customerText = bytes(words, 1);
-    id = bytes(words, 2);
+    idText = bytes(words, 2);
+    id = new String(idText, StandardCharsets.ISO_8859_1);
     body = words.size() > 4 ? bytes(words, 4) : null;
     String verbText = new String(verb, StandardCharsets.ISO_8859_1);
     query = verbText.equals("SVC.QUERY");
     must(query || verbText.equals("SVC.SUBMIT"));
-    must(customerText.length == 16 && id.length > 0 && id.length <= 64);
+    must(customerText.length == 16 && idText.length > 0 && idText.length <= 64);
     String digits = new String(customerText, StandardCharsets.ISO_8859_1);
     must(digits.charAt(0) != '+');
     customer = Long.parseUnsignedLong(digits, 16);
@@ -110,7 +112,7 @@
     out.appendString(body == null ? "*4\r\n" : "*5\r\n");
     Resp.bulk(out, verb);
     Resp.bulk(out, customerText);
-    Resp.bulk(out, id);
+    Resp.bulk(out, idText);
     out.appendString("$" + (termsBefore.length + wait.length + termsAfter.length) + "\r\n");
     out.appendBytes(termsBefore).appendBytes(wait).appendBytes(termsAfter).appendString("\r\n");
     if (body != null) Resp.bulk(out, body);
@@ -119,15 +121,10 @@
 
   /** Bytes that it holds in memory. */
   public int size() {
-    return verb.length + customerText.length + id.length + termsBefore.length + termsAfter.length
+    return verb.length + customerText.length + idText.length + termsBefore.length + termsAfter.length
         + (body == null ? 0 : body.length);
   }
 
-  /** Its id, which no two reqs have. */
-  public String id() {
-    return new String(id, StandardCharsets.ISO_8859_1);
-  }
-
   private static byte[] bytes(List<Resp> words, int at) {
     return ((Resp.Bulk) words.get(at)).bytes();
   }
--- a/src/test/java/saltlatch/node/NodeTest.java
+++ b/src/test/java/saltlatch/node/NodeTest.java
@@ -123,6 +123,15 @@
     return s;
   }
 
+  /** A client that has been answered, as all are from now on: come again. */
+  private Socket usual() throws IOException {
+    script = e -> to.deny(rid(e), 0);
+    Socket s = client();
+    say(s, req(0));
+    assertEquals("-BUSY", line(s));
+    return s;
+  }
+
   private static void say(Socket s, String text) throws IOException {
     s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
   }
@@ -217,10 +226,7 @@
   /** A connection that says nothing, or half a command, ends within 3 s; one that has spoken stays. */
   @Test
   void muteClients() throws Exception {
-    script = e -> to.deny(rid(e), 0);
-    Socket usual = client();
-    say(usual, req(0));
-    assertEquals("-BUSY", line(usual));
+    Socket usual = usual();
     long before = System.nanoTime();
     Socket silent = client();
     Socket half = client();
@@ -234,10 +240,7 @@
   /** Clients are not crowded out by as many silent connections as the node may have; the oldest of those make room. */
   @Test
   void silentCrowd() throws Exception {
-    script = e -> to.deny(rid(e), 0);
-    Socket usual = client();
-    say(usual, req(0));
-    assertEquals("-BUSY", line(usual));
+    Socket usual = usual();
     Socket oldest = client();
     for (int i = 0; i < 520; i++) client();
     Socket newest = client();
