--- /dev/null
+++ b/src/main/java/saltlatch/lab/emulator/AppServers.java
@@ -0,0 +1,231 @@
+package saltlatch.lab.emulator;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import saltlatch.lab.plan.Box;
+import saltlatch.lab.plan.Truth;
+import saltlatch.lab.scenario.Scenario;
+import saltlatch.wire.Resp;
+import saltlatch.wire.RespReader;
+
+/**
+ * Stand-in app servers speaking RESP2 as the protocol page says: {@code SVC.QUERY}/{@code SVC.SUBMIT} answered with
+ * an array of value, figures on use ({@code cost=UNITS}) and load report; {@code -BUSY} when full; {@code -ERR failed};
+ * answers in the order of a connection's commands. What each command meets is {@link Box}'s decision; what ran is
+ * written to {@link Truth}. All on the one event loop of the emulator's Vert.x.
+ */
+public final class AppServers {
+  private static final long SWEEP_MS = 50; // how often idle connections are looked at: finer than any idle time used
+
+  private final Vertx vertx;
+  private final LabClock clock;
+  private final Truth truth;
+  private final List<Server> servers = new ArrayList<>();
+  private long commands;
+  private long spoilt;
+
+  /** One stand-in server, listening on a port of its own. */
+  final class Server {
+    final Box box;
+    final Set<Conn> conns = new LinkedHashSet<>();
+    NetServer net;
+    int inProgress;
+
+    Server(Box box) {
+      this.box = box;
+    }
+
+    int port() {
+      return net.actualPort();
+    }
+  }
+
+  /** A connection with its answers waiting in order. */
+  final class Conn {
+    final Server server;
+    final NetSocket socket;
+    final RespReader reader = new RespReader();
+    final ArrayDeque<Buffer[]> pending = new ArrayDeque<>(); // a slot each command, filled when its answer is ready
+    double lastMs;
+    boolean closed;
+
+    Conn(Server server, NetSocket socket, double nowMs) {
+      this.server = server;
+      this.socket = socket;
+      this.lastMs = nowMs;
+    }
+
+    void ready(Buffer[] slot, Buffer answer) {
+      slot[0] = answer;
+      while (!pending.isEmpty() && pending.peekFirst()[0] != null) {
+        Buffer out = pending.pollFirst()[0];
+        if (!closed) socket.write(out);
+      }
+      lastMs = clock.nowMs();
+    }
+  }
+
+  AppServers(Vertx vertx, LabClock clock, Truth truth, Scenario s) {
+    this.vertx = vertx;
+    this.clock = clock;
+    this.truth = truth;
+    for (int i = 0; i < s.servers().count(); i++) servers.add(new Server(new Box(i, s.servers(), s.seed())));
+  }
+
+  /** Listens on loopback, a port each; done when all listen. */
+  Future<Void> start() {
+    List<Future<NetServer>> all = new ArrayList<>();
+    for (Server srv : servers) {
+      srv.net = vertx.createNetServer(new NetServerOptions().setHost("127.0.0.1").setPort(0).setAcceptBacklog(1024));
+      srv.net.connectHandler(socket -> accept(srv, socket));
+      all.add(srv.net.listen());
+    }
+    vertx.setPeriodic(SWEEP_MS, t -> sweep());
+    return Future.all(all).mapEmpty();
+  }
+
+  List<Integer> ports() {
+    return servers.stream().map(Server::port).toList();
+  }
+
+  long commands() {
+    return commands;
+  }
+
+  long spoilt() {
+    return spoilt;
+  }
+
+  private void accept(Server srv, NetSocket socket) {
+    double now = clock.nowMs();
+    if (!srv.box.accepts(now)) {
+      socket.close();
+      return;
+    }
+    Conn c = new Conn(srv, socket, now);
+    srv.conns.add(c);
+    socket.closeHandler(v -> {
+      c.closed = true;
+      srv.conns.remove(c);
+    });
+    socket.exceptionHandler(e -> socket.close());
+    socket.handler(data -> {
+      c.reader.feed(data);
+      try {
+        for (Resp r = c.reader.next(); r != null; r = c.reader.next()) command(c, r);
+      } catch (RespReader.Lost e) {
+        socket.close();
+      }
+    });
+  }
+
+  /** Connections idle past the box's idle time are closed, as a real server does, whatever the client is about to send. */
+  private void sweep() {
+    double now = clock.nowMs();
+    for (Server srv : servers) {
+      double idle = srv.box.idleCloseMs(now);
+      if (idle <= 0) continue;
+      for (Conn c : List.copyOf(srv.conns)) {
+        if (c.pending.isEmpty() && now - c.lastMs >= idle) c.socket.close();
+      }
+    }
+  }
+
+  private void command(Conn c, Resp r) {
+    double now = clock.nowMs();
+    c.lastMs = now;
+    Buffer[] slot = new Buffer[1];
+    c.pending.addLast(slot);
+    if (!(r instanceof Resp.Many m) || m.items() == null || m.items().isEmpty()) {
+      c.ready(slot, line("-ERR no command"));
+      return;
+    }
+    List<String> words = new ArrayList<>();
+    for (Resp item : m.items()) words.add(item instanceof Resp.Bulk b ? b.text() : "");
+    String verb = words.get(0).toUpperCase(java.util.Locale.ROOT);
+    switch (verb) {
+      case "PING" -> c.ready(slot, line("+PONG"));
+      case "CLIENT", "SELECT" -> c.ready(slot, line("+OK"));
+      case "INFO" -> c.ready(slot, line("-NOPERM"));
+      case "SVC.QUERY", "SVC.SUBMIT" -> work(c, slot, verb.equals("SVC.SUBMIT"), words, now);
+      default -> c.ready(slot, line("-ERR unknown command"));
+    }
+  }
+
+  private void work(Conn c, Buffer[] slot, boolean submit, List<String> words, double now) {
+    if (words.size() < 4) {
+      c.ready(slot, line("-SYNTAX"));
+      return;
+    }
+    commands++;
+    long customer;
+    try {
+      customer = Long.parseUnsignedLong(words.get(1), 16);
+    } catch (NumberFormatException e) {
+      c.ready(slot, line("-SYNTAX"));
+      return;
+    }
+    String id = words.get(2);
+    int units = (int) Math.max(1, term(words.get(3), "units"));
+    truth.dispatched(id, customer, submit, units);
+    Server srv = c.server;
+    Box.Turn turn = srv.box.take(now, srv.inProgress);
+    switch (turn.verdict()) {
+      case BUSY -> c.ready(slot, line("-BUSY"));
+      case FAIL, REFUSE_CONNECTION -> c.ready(slot, line("-ERR failed"));
+      case SPOIL, SERVE -> {
+        srv.inProgress++;
+        double at = Math.max(now + turn.latencyMs(), turn.heldUntilMs());
+        vertx.setTimer(Math.max(1, (long) Math.ceil(at - now)), t -> {
+          srv.inProgress--;
+          truth.served(id, (long) clock.nowMs());
+          if (turn.verdict() == Box.Verdict.SPOIL) {
+            spoilt++;
+            c.ready(slot, line("+spoilt"));
+            return;
+          }
+          String load = "inflight=" + srv.inProgress + ",util="
+              + String.format(java.util.Locale.ROOT, "%.2f", srv.inProgress / srv.box.capacity(clock.nowMs()));
+          c.ready(slot, array("v:" + id, "cost=" + units, load));
+        });
+      }
+      default -> throw new IllegalStateException();
+    }
+  }
+
+  static double term(String terms, String name) {
+    for (String part : terms.split(",")) {
+      if (part.startsWith(name + "=")) {
+        try {
+          return Double.parseDouble(part.substring(name.length() + 1));
+        } catch (NumberFormatException e) {
+          return 0;
+        }
+      }
+    }
+    return 0;
+  }
+
+  static Buffer line(String text) {
+    return Buffer.buffer(text + "\r\n");
+  }
+
+  static Buffer array(String... items) {
+    Buffer out = Buffer.buffer().appendString("*" + items.length + "\r\n");
+    for (String s : items) {
+      byte[] b = s.getBytes(StandardCharsets.ISO_8859_1);
+      out.appendString("$" + b.length + "\r\n").appendBytes(b).appendString("\r\n");
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/src/main/java/saltlatch/lab/emulator/DiscoveryStub.java
@@ -0,0 +1,151 @@
+package saltlatch.lab.emulator;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import saltlatch.lab.scenario.Scenario;
+import saltlatch.lab.scenario.Scenario.Fault;
+
+/**
+ * Stand-in discovery agent on HTTP/1.1: {@code GET /api/targets} gives the whole list; {@code ?follow=1&since=N} a
+ * chunked watch of one JSON object a line, an empty line every 2 s while nothing changes. An app server with a
+ * {@code cold_start} fault joins the list at its {@code at_s} with {@code since_ms} then. Faults: {@code late} (news
+ * told {@code extra_ms} after it happened), {@code stale} (while it holds, the list as it was when it began, and no news).
+ */
+public final class DiscoveryStub {
+  static final long KEEP_ALIVE_MS = 2_000; // an empty line this often on a quiet watch, as the protocol page says
+  private static final long LOOK_MS = 50;
+
+  private final Vertx vertx;
+  private final LabClock clock;
+  private final Scenario s;
+  private final List<Integer> ports;
+  private final Set<HttpServerResponse> watches = new LinkedHashSet<>();
+  private HttpServer http;
+  private int index = 1;
+  private List<Boolean> told; // which servers the list holds now, as told
+  private long fetches;
+
+  DiscoveryStub(Vertx vertx, LabClock clock, Scenario s, List<Integer> ports) {
+    this.vertx = vertx;
+    this.clock = clock;
+    this.s = s;
+    this.ports = ports;
+    told = present(0);
+  }
+
+  Future<Void> start() {
+    http = vertx.createHttpServer(new HttpServerOptions().setHost("127.0.0.1").setPort(0));
+    http.requestHandler(this::request);
+    vertx.setPeriodic(LOOK_MS, t -> look());
+    vertx.setPeriodic(KEEP_ALIVE_MS, t -> {
+      for (HttpServerResponse r : List.copyOf(watches)) r.write("\n");
+    });
+    return http.listen().mapEmpty();
+  }
+
+  int port() {
+    return http.actualPort();
+  }
+
+  long fetches() {
+    return fetches;
+  }
+
+  /** The list that nodes are given at start, as JSON: what is present at time 0. */
+  JsonObject known() {
+    return list(told, null, true);
+  }
+
+  /** Which servers are in the list at {@code ms}: all but those whose cold start is still ahead. */
+  List<Boolean> present(double ms) {
+    List<Boolean> out = new ArrayList<>();
+    for (int i = 0; i < s.servers().count(); i++) {
+      boolean in = true;
+      for (Fault f : s.servers().faults()) if (f.kind().equals("cold_start") && f.touches(i) && ms < f.atS() * 1000) in = false;
+      out.add(in);
+    }
+    return out;
+  }
+
+  private boolean holds(String kind, double ms) {
+    for (Fault f : s.discovery().faults()) if (f.kind().equals(kind) && f.holds(ms)) return true;
+    return false;
+  }
+
+  private double lateBy(double ms) {
+    double late = 0;
+    for (Fault f : s.discovery().faults()) if (f.kind().equals("late") && f.holds(ms)) late = Math.max(late, f.extraMs());
+    return late;
+  }
+
+  private void look() {
+    double now = clock.nowMs();
+    if (holds("stale", now)) return;
+    List<Boolean> truthNow = present(now - lateBy(now));
+    if (truthNow.equals(told)) return;
+    List<Boolean> before = told;
+    told = truthNow;
+    index++;
+    JsonObject change = list(told, before, false);
+    for (HttpServerResponse r : List.copyOf(watches)) r.write(change + "\n");
+  }
+
+  private JsonObject list(List<Boolean> now, List<Boolean> before, boolean snapshot) {
+    JsonObject o = new JsonObject();
+    o.addProperty("index", index);
+    o.addProperty("snapshot", snapshot);
+    JsonArray eps = new JsonArray();
+    for (int i = 0; i < now.size(); i++) {
+      if (before != null && before.get(i).equals(now.get(i))) continue;
+      if (before == null && !now.get(i)) continue;
+      JsonObject e = new JsonObject();
+      e.addProperty("name", "s-" + i);
+      e.addProperty("address", "127.0.0.1:" + ports.get(i));
+      e.addProperty("zone", "a");
+      e.addProperty("type", "m");
+      e.addProperty("group", 0);
+      e.addProperty("status", now.get(i) ? "Ready" : "Gone");
+      e.addProperty("weight", 1.0);
+      e.addProperty("since_ms", sinceMs(i));
+      eps.add(e);
+    }
+    o.add("endpoints", eps);
+    return o;
+  }
+
+  private long sinceMs(int i) {
+    for (Fault f : s.servers().faults()) {
+      if (f.kind().equals("cold_start") && f.touches(i) && f.atS() > 0) return clock.epochMs(f.atS() * 1000);
+    }
+    return 0;
+  }
+
+  private void request(HttpServerRequest req) {
+    fetches++;
+    HttpServerResponse r = req.response();
+    if (!req.path().equals("/api/targets")) {
+      r.setStatusCode(404).end();
+      return;
+    }
+    r.putHeader("content-type", "application/json");
+    if (!"1".equals(req.getParam("follow"))) {
+      r.end(list(told, null, true).toString());
+      return;
+    }
+    r.setChunked(true);
+    r.write(list(told, null, true) + "\n");
+    watches.add(r);
+    r.closeHandler(v -> watches.remove(r));
+    req.connection().closeHandler(v -> watches.remove(r));
+  }
+}
--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -72,6 +72,46 @@
     return 0;
   }
 
+  /** A node run inside another program (the laboratory): no signals, no hooks; stopped by {@link #stop()}. */
+  public interface Embedded {
+    /** The port it listens on for clients. */
+    int port();
+
+    /** Its counters, a {@code name=value} line each, as {@code INFO} gives them. */
+    Future<String> figures();
+
+    /** Drains and ends as after SIGTERM; done once its loop is closed. */
+    Future<Void> stop();
+  }
+
+  /** Starts a node of the configuration's JSON text; done once it serves, failed for a bad text or no listener. */
+  public static Future<Embedded> embedded(Gateway.Maker maker, String json) {
+    Serve serve;
+    try {
+      serve = new Serve(Station.of(json));
+    } catch (RuntimeException e) {
+      return Future.failedFuture(e);
+    }
+    return serve.start(maker).map(v -> new Embedded() {
+      @Override
+      public int port() {
+        return serve.port();
+      }
+
+      @Override
+      public Future<String> figures() {
+        Promise<String> out = Promise.promise();
+        serve.loop.runOnContext(x -> out.complete(serve.pilot.figures()));
+        return out.future();
+      }
+
+      @Override
+      public Future<Void> stop() {
+        return serve.stop();
+      }
+    });
+  }
+
   /** Done once PING is answered with PONG. */
   Future<Void> start(Gateway.Maker maker) {
     Promise<Void> open = Promise.promise();
--- a/src/main/java/saltlatch/wire/Resp.java
+++ b/src/main/java/saltlatch/wire/Resp.java
@@ -5,13 +5,13 @@
 import java.util.List;
 
 /** One RESP2 value. */
-sealed interface Resp {
+public sealed interface Resp {
   /** A simple string ({@code +}), an error ({@code -}) or a number ({@code :}). */
   record Line(char type, String text) implements Resp {}
 
   /** Null bytes: the null bulk string. */
   record Bulk(byte[] bytes) implements Resp {
-    String text() {
+    public String text() {
       return bytes == null ? "" : new String(bytes, StandardCharsets.ISO_8859_1);
     }
   }
--- a/src/main/java/saltlatch/wire/RespReader.java
+++ b/src/main/java/saltlatch/wire/RespReader.java
@@ -7,7 +7,7 @@
 import java.util.List;
 
 /** Cuts a byte stream into RESP2 values. After {@link Lost} the stream has no place to go on from. */
-final class RespReader {
+public final class RespReader {
   static final int LONGEST_VALUE = 64 * 1024; // bytes, as the protocol page says
   private static final int LONGEST_LINE = 1024; // bytes of a line: far over any error text or number
   private static final int MOST_ITEMS = 16; // of an array: commands have five at most, answers three
@@ -15,7 +15,7 @@
   private static final int LONGEST = LONGEST_VALUE + 8 * LONGEST_LINE; // bytes of a whole message
 
   /** The framing is lost, or a message is too long. */
-  static final class Lost extends Exception {
+  public static final class Lost extends Exception {
     private static final long serialVersionUID = 1;
 
     Lost(String why) {
@@ -28,7 +28,7 @@
   private int to;
   private int at;
 
-  void feed(Buffer more) {
+  public void feed(Buffer more) {
     int size = more.length();
     if (from == to) from = to = 0;
     if (to + size > data.length) {
@@ -43,7 +43,7 @@
   }
 
   /** The next whole value; null while it has not all come. */
-  Resp next() throws Lost {
+  public Resp next() throws Lost {
     at = from;
     Resp value = value(0);
     if (value == null) {
@@ -56,7 +56,7 @@
   }
 
   /** Nothing has come beyond the values that were read. */
-  boolean isEmpty() {
+  public boolean isEmpty() {
     return from == to;
   }
 
