Lab at issue size: child-process nodes, a node's loop CPU, counter test, measurements

In-process nodes give their event loop's CPU. The load keeps its first 2 s of sender lateness apart (JIT and connects).

--- a/src/main/java/saltlatch/cli/LabCommand.java
+++ b/src/main/java/saltlatch/cli/LabCommand.java
@@ -26,9 +26,27 @@
   @Option(names = "--baseline", description = "an earlier run file to compare against in the report")
   Path baseline;
 
+  @Option(names = "--processes", description = "start each node as a child process with the run line's JVM flags "
+      + "(not on the bench's platform, which allows no fork); needs target/saltlatch.jar")
+  boolean processes;
+
   @Override
   public Integer call() throws Exception {
-    RunResult r = Lab.run(Scenario.read(scenario), nodes);
+    Lab.Children children = null;
+    if (processes) {
+      String toml = Files.readString(Path.of("deploy/balancer.toml"));
+      java.util.regex.Matcher m =
+          java.util.regex.Pattern.compile("(?m)^run = \"exec java (.*?) -jar ").matcher(toml);
+      if (!m.find()) {
+        System.err.println("saltlatch lab: no run line in deploy/balancer.toml");
+        return 2;
+      }
+      children = new Lab.Children(java.util.List.of(m.group(1)
+          .replace("${TMPDIR:-/tmp}", System.getenv().getOrDefault("TMPDIR", "/tmp")).split(" ")),
+          Path.of("target/saltlatch.jar"),
+          Path.of(out + "-nodes"));
+    }
+    RunResult r = Lab.run(Scenario.read(scenario), nodes, children);
     Lab.write(r, Path.of(out + ".json"));
     RunResult base = baseline == null ? null : Lab.read(baseline);
     Files.writeString(Path.of(out + ".html"), Report.html(r, base));
--- a/src/main/java/saltlatch/lab/load/LoadRunner.java
+++ b/src/main/java/saltlatch/lab/load/LoadRunner.java
@@ -34,6 +34,7 @@
 public final class LoadRunner {
   private static final long TICK_MS = 1; // the sender looks for due arrivals this often
   private static final long HIGHEST_US = 120_000_000; // the histograms' range: two minutes
+  private static final long WARM_US = 2_000_000; // the sender's lateness is kept apart for the first 2 s: JIT, connects
 
   private final Scenario s;
   private final List<Arrival> schedule;
@@ -47,6 +48,7 @@
   private final Histogram passed = new Histogram(HIGHEST_US, 3);
   private final Histogram answered = new Histogram(HIGHEST_US, 3);
   private final Histogram late = new Histogram(HIGHEST_US, 3);
+  private final Histogram lateWarming = new Histogram(HIGHEST_US, 3);
   private final TreeMap<Long, long[]> perSecond = new TreeMap<>();
   private final TreeMap<Long, Histogram> perSecondLatency = new TreeMap<>();
   private final Map<Long, double[]> customerUse = new HashMap<>(); // customer -> {units passed, first ms}
@@ -134,7 +136,7 @@
     long now = clock.nowUs() - startUs;
     while (next < schedule.size() && schedule.get(next).atUs() <= now) {
       Arrival a = schedule.get(next++);
-      late.recordValue(Math.min(HIGHEST_US, Math.max(0, now - a.atUs())));
+      (a.atUs() < WARM_US ? lateWarming : late).recordValue(Math.min(HIGHEST_US, Math.max(0, now - a.atUs())));
       int node = nodeFor(a.customer());
       send(new Try(a, a.id(), node, a.eagerTries(), a.atUs()), false);
     }
@@ -303,7 +305,9 @@
     Map<String, Long> m = new TreeMap<>();
     m.put("p50", late.getValueAtPercentile(50));
     m.put("p99", late.getValueAtPercentile(99));
+    m.put("p999", late.getValueAtPercentile(99.9));
     m.put("max", late.getMaxValue());
+    m.put("warming_p99", lateWarming.getValueAtPercentile(99));
     return m;
   }
 
--- a/src/main/java/saltlatch/lab/report/Report.java
+++ b/src/main/java/saltlatch/lab/report/Report.java
@@ -85,6 +85,8 @@
       m.put("units charged", (double) r.truth().unitsCharged());
     }
     m.put("cpu s", r.process().cpuSeconds());
+    m.put("node loop cpu s, most", r.nodeCounters().stream().mapToLong(n -> n.getOrDefault("loop_cpu_ms", 0L))
+        .max().orElse(0) / 1000.0);
     m.put("rss MB", r.process().rssMb());
     return m;
   }
--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -80,6 +80,9 @@
     /** Its counters, a {@code name=value} line each, as {@code INFO} gives them. */
     Future<String> figures();
 
+    /** CPU time in ns that its event loop's thread has used, from the JVM's thread accounting. */
+    Future<Long> loopCpuNanos();
+
     /** Drains and ends as after SIGTERM; done once its loop is closed. */
     Future<Void> stop();
   }
@@ -105,6 +108,14 @@
         return out.future();
       }
 
+      @Override
+      public Future<Long> loopCpuNanos() {
+        Promise<Long> out = Promise.promise();
+        serve.loop.runOnContext(x -> out.complete(
+            java.lang.management.ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime()));
+        return out.future();
+      }
+
       @Override
       public Future<Void> stop() {
         return serve.stop();
--- /dev/null
+++ b/src/test/java/saltlatch/lab/EmulatorTest.java
@@ -0,0 +1,92 @@
+package saltlatch.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonParser;
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import saltlatch.lab.emulator.Emulator;
+import saltlatch.lab.emulator.LabClock;
+import saltlatch.lab.scenario.Scenario;
+
+/** The counter stand-in on loopback: a split keeps two stores, a silence holds answers, an empty forgets. */
+class EmulatorTest {
+  @Test
+  void counterSplitsFallsSilentAndComesBackEmpty() throws Exception {
+    Scenario s = Scenario.parse("""
+        seed = 1
+        seconds = 5
+        nodes = 2
+        [[counter.faults]]
+        kind = "split"
+        at_s = 0
+        for_s = 1.5
+        groups = 2
+        [[counter.faults]]
+        kind = "silent"
+        at_s = 1.5
+        for_s = 1
+        [[counter.faults]]
+        kind = "empty"
+        at_s = 3
+        """);
+    LabClock clock = new LabClock();
+    Emulator e = new Emulator(s, clock);
+    e.start().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    try {
+      int a = counterPort(e, 0);
+      int b = counterPort(e, 1);
+      assertTrue(a != b, "a split gives each group its own address");
+      try (Line one = new Line(a); Line two = new Line(b)) {
+        assertEquals("ok 2", one.call("bump c1 2 60000"));
+        assertEquals("ok 3", two.call("bump c1 3 60000")); // the other side does not see the 2
+        Thread.sleep(Math.max(0, 1_700 - (long) clock.nowMs()));
+        long sent = System.nanoTime();
+        assertEquals("ok 3", one.call("bump c1 1 60000")); // healed: side one's store; held to the silence's end
+        double heldMs = (System.nanoTime() - sent) / 1e6;
+        assertTrue(heldMs > 500, "held " + heldMs + " ms");
+        Thread.sleep(Math.max(0, 3_200 - (long) clock.nowMs()));
+        assertEquals("ok 1", one.call("bump c1 1 60000")); // back empty
+      }
+    } finally {
+      e.stop();
+    }
+  }
+
+  private static int counterPort(Emulator e, int node) {
+    String address = JsonParser.parseString(e.nodeConfig(node)).getAsJsonObject().get("counter").getAsString();
+    return Integer.parseInt(address.substring(address.indexOf(':') + 1));
+  }
+
+  /** One connection speaking the counter's lines. */
+  private static final class Line implements AutoCloseable {
+    final Socket socket;
+    final BufferedReader in;
+    final OutputStream out;
+
+    Line(int port) throws Exception {
+      socket = new Socket(InetAddress.getLoopbackAddress(), port);
+      socket.setSoTimeout(5_000);
+      in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+      out = socket.getOutputStream();
+    }
+
+    String call(String line) throws Exception {
+      out.write((line + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+      out.flush();
+      return in.readLine();
+    }
+
+    @Override
+    public void close() throws Exception {
+      socket.close();
+    }
+  }
+}
