--- a/src/main/java/saltlatch/lab/load/LoadRunner.java
+++ b/src/main/java/saltlatch/lab/load/LoadRunner.java
@@ -32,7 +32,8 @@
  * denial, with a new id and {@code r=1}. One event loop of its own; latencies in HdrHistogram.
  */
 public final class LoadRunner {
-  private static final long TICK_MS = 1; // the sender looks for due arrivals this often
+  private static final long TICK_MS = 1; // the loop looks for due arrivals this often, besides the pacer's wake-ups
+  private static final long SPIN_US = 80; // the pacer parks until this much before an arrival, then spins: park overshoots
   private static final long HIGHEST_US = 120_000_000; // the histograms' range: two minutes
   private static final long WARM_US = 2_000_000; // the sender's lateness is kept apart for the first 2 s: JIT, connects
 
@@ -53,7 +54,8 @@
   private final TreeMap<Long, Histogram> perSecondLatency = new TreeMap<>();
   private final Map<Long, double[]> customerUse = new HashMap<>(); // customer -> {units passed, first ms}
   private final List<String> passedIds = new ArrayList<>();
-  private long startUs;
+  private volatile long startUs;
+  private volatile boolean pacing = true;
   private int next;
   private long tries;
   private long open;
@@ -118,11 +120,16 @@
   /** Sends the whole schedule, then waits for every try's end; done then. */
   public Future<Void> run() {
     done = Promise.promise();
-    vertx.runOnContext(v -> {
+    io.vertx.core.Context loop = vertx.getOrCreateContext();
+    loop.runOnContext(v -> {
       startUs = clock.nowUs();
+      Thread pacer = new Thread(() -> pace(loop), "lab-pacer");
+      pacer.setDaemon(true);
+      pacer.start();
       vertx.setPeriodic(TICK_MS, t -> {
         tick();
         if (next >= schedule.size() && open == 0) {
+          pacing = false;
           vertx.cancelTimer(t);
           for (List<Conn> list : conns) for (Conn c : list) if (c.socket != null) c.socket.close();
           done.tryComplete();
@@ -132,6 +139,21 @@
     return done.future();
   }
 
+  /**
+   * Wakes the loop at each arrival's time, to the microsecond as far as the machine allows: parks until
+   * {@link #SPIN_US} before it, then spins. It only wakes the loop; the loop owns all state and sends.
+   */
+  private void pace(io.vertx.core.Context loop) {
+    for (int i = 0; i < schedule.size() && pacing; i++) {
+      long at = schedule.get(i).atUs();
+      long wait = at - (clock.nowUs() - startUs);
+      if (wait > SPIN_US) java.util.concurrent.locks.LockSupport.parkNanos((wait - SPIN_US) * 1000);
+      while (clock.nowUs() - startUs < at) Thread.onSpinWait();
+      while (i + 1 < schedule.size() && schedule.get(i + 1).atUs() <= at) i++;
+      loop.runOnContext(v -> tick());
+    }
+  }
+
   private void tick() {
     long now = clock.nowUs() - startUs;
     while (next < schedule.size() && schedule.get(next).atUs() <= now) {
