Read over: lab stand-ins use the node's Resp.bulk and Answer.field; dead verdict gone

Change: AppServers and LoadRunner call Resp.bulk; AppServers reads units with Answer.field; the verdict, its branch and the doc's claim are removed. Same bytes on the wire, same verdicts.

--- a/src/main/java/saltlatch/lab/emulator/AppServers.java
+++ b/src/main/java/saltlatch/lab/emulator/AppServers.java
@@ -15,6 +15,7 @@
 import saltlatch.lab.plan.Box;
 import saltlatch.lab.plan.Truth;
 import saltlatch.lab.scenario.Scenario;
+import saltlatch.wire.Answer;
 import saltlatch.wire.Resp;
 import saltlatch.wire.RespReader;
 
@@ -176,14 +177,14 @@
       return;
     }
     String id = words.get(2);
-    int units = (int) Math.max(1, term(words.get(3), "units"));
+    int units = (int) Math.max(1, Answer.field(words.get(3), "units"));
     truth.dispatched(id, customer, submit, units);
     Server srv = c.server;
     Box.Turn turn = srv.box.take(now, srv.inProgress);
     if (turn.verdict() != Box.Verdict.BUSY) truth.mayHaveRun(id);
     switch (turn.verdict()) {
       case BUSY -> c.ready(slot, line("-BUSY"));
-      case FAIL, REFUSE_CONNECTION -> c.ready(slot, line("-ERR failed"));
+      case FAIL -> c.ready(slot, line("-ERR failed"));
       case SPOIL, SERVE -> {
         srv.inProgress++;
         double at = Math.max(now + turn.latencyMs(), turn.heldUntilMs());
@@ -200,23 +201,9 @@
           c.ready(slot, array("v:" + id, "cost=" + units, load));
         });
       }
-      default -> throw new IllegalStateException();
     }
   }
 
-  static double term(String terms, String name) {
-    for (String part : terms.split(",")) {
-      if (part.startsWith(name + "=")) {
-        try {
-          return Double.parseDouble(part.substring(name.length() + 1));
-        } catch (NumberFormatException e) {
-          return 0;
-        }
-      }
-    }
-    return 0;
-  }
-
   static Buffer line(String text) {
     return Buffer.buffer(text + "\r\n");
   }
@@ -224,8 +211,7 @@
   static Buffer array(String... items) {
     Buffer out = Buffer.buffer().appendString("*" + items.length + "\r\n");
     for (String s : items) {
-      byte[] b = s.getBytes(StandardCharsets.ISO_8859_1);
-      out.appendString("$" + b.length + "\r\n").appendBytes(b).appendString("\r\n");
+      Resp.bulk(out, s.getBytes(StandardCharsets.ISO_8859_1));
     }
     return out;
   }
--- a/src/main/java/saltlatch/lab/load/LoadRunner.java
+++ b/src/main/java/saltlatch/lab/load/LoadRunner.java
@@ -181,10 +181,7 @@
         String.format("%016x", a.customer()), t.id, terms));
     if (a.submit()) words.add("progress-save");
     Buffer b = Buffer.buffer().appendString("*" + words.size() + "\r\n");
-    for (String w : words) {
-      byte[] bytes = w.getBytes(StandardCharsets.ISO_8859_1);
-      b.appendString("$" + bytes.length + "\r\n").appendBytes(bytes).appendString("\r\n");
-    }
+    for (String w : words) Resp.bulk(b, w.getBytes(StandardCharsets.ISO_8859_1));
     conn(t.node, a.leaveUs() > 0).send(t, b);
     long nowMs = (clock.nowUs() - startUs) / 1000;
     long deadlineMs = Math.max(1, t.dueUs / 1000 + a.deadlineMs() - nowMs);
--- a/src/main/java/saltlatch/lab/plan/Box.java
+++ b/src/main/java/saltlatch/lab/plan/Box.java
@@ -13,7 +13,7 @@
  */
 public final class Box {
   /** What becomes of one command. */
-  public enum Verdict { SERVE, BUSY, FAIL, SPOIL, REFUSE_CONNECTION }
+  public enum Verdict { SERVE, BUSY, FAIL, SPOIL }
 
   /** The verdict, and for {@code SERVE} the latency in ms, and whether answers are held until a pause ends. */
   public record Turn(Verdict verdict, double latencyMs, double heldUntilMs) {}
@@ -40,7 +40,7 @@
     sigma = Math.max(0.01, Math.log(Math.max(s.p99Ms(), s.medianMs() * 1.01) / s.medianMs()) / 2.326);
   }
 
-  /** A new connection at {@code nowMs}: refused while a {@code refuse} fault holds or the box lies tipped. */
+  /** A new connection at {@code nowMs}: refused while a {@code refuse} fault holds. */
   public boolean accepts(double nowMs) {
     for (Fault f : faults) if (f.kind().equals("refuse") && f.holds(nowMs)) return false;
     return true;
