--- a/src/main/java/saltlatch/lab/emulator/CounterStub.java
+++ b/src/main/java/saltlatch/lab/emulator/CounterStub.java
@@ -24,7 +24,8 @@
  * group of nodes; the groups share one store until a {@code split} holds, when each side keeps its own and the
  * second side's writes are lost when it heals. Faults: {@code silent} (calls held and answered when it ends),
  * {@code slow} ({@code extra_ms} each), {@code refuse} (new connections closed, calls answered {@code busy}),
- * {@code empty} (all totals forgotten at {@code at_s}).
+ * {@code empty} (all totals forgotten at {@code at_s}). With {@code calls_per_second} calls are served in turn, and turned
+ * away with {@code busy} while more than {@code line} wait.
  */
 public final class CounterStub {
   static final int MOST_CONNECTIONS = 32; // an edge node's connections at one address, as the protocol page says
@@ -43,6 +44,8 @@
   private final List<Boolean> emptied = new ArrayList<>();
   private long calls;
   private long held;
+  private long turnedAway;
+  private double freeMs; // when the calls taken so far will have had their turn
 
   private static final class Entry {
     BigDecimal total = BigDecimal.ZERO;
@@ -104,6 +107,11 @@
     return held;
   }
 
+  /** Calls turned away because too many waited. */
+  long turnedAway() {
+    return turnedAway;
+  }
+
   private boolean holds(String kind, double now) {
     for (Fault f : spec.faults()) if (f.kind().equals(kind) && f.holds(now)) return true;
     return false;
@@ -153,7 +161,17 @@
       answer(c, slot, "error", now);
       return;
     }
-    double due = now + spec.latencyMs();
+    double turn = now;
+    if (spec.callsPerSecond() > 0) {
+      turn = Math.max(now, freeMs) + 1000 / spec.callsPerSecond();
+      if (turn - now > spec.line() * 1000 / spec.callsPerSecond()) {
+        turnedAway++;
+        answer(c, slot, "busy", now);
+        return;
+      }
+      freeMs = turn;
+    }
+    double due = turn + spec.latencyMs();
     for (Fault f : spec.faults()) {
       if (!f.holds(now)) continue;
       if (f.kind().equals("slow")) due += f.extraMs();
--- a/src/main/java/saltlatch/lab/emulator/Emulator.java
+++ b/src/main/java/saltlatch/lab/emulator/Emulator.java
@@ -91,6 +91,7 @@
          "limits":{"cancelling":true,"connIdle":15000,"connectTimeout":250,"maxRetryAfter":1000,"mayTell":true,
            "retryAfter":true,"sendCap":4}}""";
     JsonObject o = JsonParser.parseString(text).getAsJsonObject();
+    o.getAsJsonObject("familyInfo").addProperty("peerInPerS", s.peers().intake());
     o.addProperty("me", me);
     o.addProperty("peersTotal", s.nodes());
     double idle = s.servers().idleCloseMs();
@@ -146,6 +147,7 @@
       m.put("server_spoilt", servers.spoilt());
       m.put("counter_calls", counter.calls());
       m.put("counter_held_by_silence", counter.held());
+      m.put("counter_turned_away", counter.turnedAway());
       m.put("discovery_fetches", discovery.fetches());
       m.put("peer_datagrams_carried", relay.carried());
       m.put("peer_datagrams_lost", relay.lost());
--- a/src/main/java/saltlatch/lab/scenario/Scenario.java
+++ b/src/main/java/saltlatch/lab/scenario/Scenario.java
@@ -25,14 +25,20 @@
   public record Servers(int count, double medianMs, double p99Ms, int concurrency, double idleCloseMs,
       List<Fault> faults) {}
 
-  /** The counter: its own latency, and faults ({@code silent}, {@code slow}, {@code refuse}, {@code empty}, {@code split}). */
-  public record Counter(double latencyMs, List<Fault> faults) {}
+  /**
+   * The counter: its own latency, the calls a second that it serves in turn (0: all), the calls that may wait for that
+   * (more are turned away), and faults ({@code silent}, {@code slow}, {@code refuse}, {@code empty}, {@code split}).
+   */
+  public record Counter(double latencyMs, double callsPerSecond, int line, List<Fault> faults) {}
 
   /** Discovery: faults {@code late} (changes held back by {@code extra_ms}) and {@code stale} (the old list served). */
   public record Discovery(List<Fault> faults) {}
 
-  /** Peer datagrams through the emulator's relay: share lost, extra delay up to {@code reorder_ms}. */
-  public record Peers(double loss, double reorderMs) {}
+  /**
+   * Peer datagrams through the emulator's relay: share lost, extra delay up to {@code reorder_ms}; {@code intake} a second
+   * that a node says it takes in (0: nodes tell each other nothing).
+   */
+  public record Peers(double loss, double reorderMs, double intake) {}
 
   /**
    * The offered load: {@code rate} reqs a second in all, Poisson, over {@code customers} with Zipf skew {@code zipf};
@@ -96,9 +102,10 @@
     Servers s = servers == null ? new Servers(4, 5, 30, 64, 0, List.of()) : servers;
     s = new Servers(pos(s.count, 4), s.medianMs > 0 ? s.medianMs : 5, s.p99Ms > 0 ? s.p99Ms : 6 * Math.max(1, s.medianMs),
         pos(s.concurrency, 64), s.idleCloseMs, faults(s.faults));
-    Counter c = counter == null ? new Counter(0.2, List.of()) : new Counter(counter.latencyMs, faults(counter.faults));
+    Counter c = counter == null ? new Counter(0.2, 0, 0, List.of())
+        : new Counter(counter.latencyMs, counter.callsPerSecond, pos(counter.line, 32), faults(counter.faults));
     Discovery d = new Discovery(discovery == null ? List.of() : faults(discovery.faults));
-    Peers p = peers == null ? new Peers(0, 0) : peers;
+    Peers p = peers == null ? new Peers(0, 0, 0) : peers;
     Load l = load == null ? new Load(100, 20, 1.0, 0.2, 1, 1, 3000, 0, 0.5, 0, 0, 64, List.of()) : load;
     l = new Load(l.rate > 0 ? l.rate : 100, pos(l.customers, 20), l.zipf, l.submitShare, pos(l.unitsMin, 1),
         Math.max(pos(l.unitsMin, 1), l.unitsMax), l.deadlineMs > 0 ? l.deadlineMs : 3000, l.giveUpShare,
--- a/src/test/java/saltlatch/lab/EmulatorTest.java
+++ b/src/test/java/saltlatch/lab/EmulatorTest.java
@@ -103,6 +103,33 @@
     }
   }
 
+  /** A counter of ten calls a second, with three that may wait: of eight at once it serves three in turn. */
+  @Test
+  void counterServesInTurn() throws Exception {
+    Scenario s = Scenario.parse("""
+        name = "narrow"
+        nodes = 1
+        [counter]
+        calls_per_second = 10
+        line = 3
+        """);
+    LabClock clock = new LabClock();
+    Emulator e = new Emulator(s, clock);
+    e.start().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    try (Line one = new Line(counterPort(e, 0))) {
+      double from = clock.nowMs();
+      one.out.write("bump n 1 5000\r\n".repeat(8).getBytes(StandardCharsets.ISO_8859_1));
+      StringBuilder seen = new StringBuilder();
+      for (int i = 0; i < 8; i++) seen.append(one.in.readLine()).append(' ');
+      assertEquals("ok 1 ok 2 ok 3 busy busy busy busy busy ", seen.toString());
+      assertTrue(clock.nowMs() - from >= 300, "in turn");
+      assertEquals(5L, e.figures().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS)
+          .get("counter_turned_away"));
+    } finally {
+      e.stop();
+    }
+  }
+
   private static int counterPort(Emulator e, int node) {
     String address = JsonParser.parseString(e.nodeConfig(node)).getAsJsonObject().get("counter").getAsString();
     return Integer.parseInt(address.substring(address.indexOf(':') + 1));
