Customers of very many nodes are not told of: it costs more than it brings

At fault: Gossip.passed, which told of every customer.

Change: Gossip tells of sets only whose price, by the settings' fee, stays below a fiftieth of all worth; wider ones keep to shares, and every node knows the width. GossipTest.wideSetsAreNotTold fails without it.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -163,7 +163,7 @@
     this.to = to;
     rules = site.rules();
     chance = new SplittableRandom(site.seed());
-    gossip = new Gossip(site.peers().me(), site.nodes(), site.peers().intake());
+    gossip = new Gossip(site.peers().me(), site.nodes(), site.peers().intake(), site.peers().fee());
     quotas = new Quotas(now, site, gossip);
     for (Site.Frontend f : site.frontends()) {
       kinds.add(new Kind(f));
@@ -221,7 +221,7 @@
     boolean full = r.customer.spent && r.customer.alone < 0 && r.customer.room < r.reserved
         || r.belated && (r.customer.spent || !counterIsWell());
     // What peers tell is known without a call: calls are for reqs that it leaves room for.
-    boolean heard = !counterIsWell() && gossip.isHeard(now);
+    boolean heard = !counterIsWell() && gossip.isHeard(now, r.customer.width);
     if (heard) full = r.belated || !quotas.hasLocalRoom(r.customer, r.reserved);
     // Guards against a counter that is silent, refusing, full or slow: a call goes out every gap, for the
     // next req in time; a share decides the others. Harms a little where two calls are lost by chance.
@@ -258,7 +258,7 @@
       w.customer.spent |= !below || w.customer.room <= 0;
       // Guards against windows that differ from the quota's store: a heavy customer would spend each window
       // at its start, stand denied with room, and find a whole burst again at the turn.
-      boolean heard = gossip.isHeard(now);
+      boolean heard = gossip.isHeard(now, w.customer.width);
       boolean room = heard ? quotas.hasLocalRoom(r.customer, r.reserved) : w.customer.room >= r.reserved;
       decide(r, w.customer.spent ? !r.belated && room : below);
     } else if (r != null) {
@@ -302,7 +302,7 @@
     if (!room) {
       double spread = SPREAD_BACK * Quotas.length(c.plan) * chance.nextDouble();
       long unsure = Math.max(0, nextCall - now) + (long) (gap * chance.nextDouble());
-      boolean known = r.belated || r.counting || gossip.isHeard(now);
+      boolean known = r.belated || r.counting || gossip.isHeard(now, c.width);
       finish(r, End.DENIED, known ? r.window.turn - now + (long) spread : unsure);
     } else if (!open || !quotas.ceilingAllows(c, r.told.units()) || pressed(r)
         || (r.next = choose(r)) == null) {
--- a/src/main/java/saltlatch/Gossip.java
+++ b/src/main/java/saltlatch/Gossip.java
@@ -17,6 +17,7 @@
   static final double INTAKE = 0.5; // part of the datagrams that a node takes in which these may use
   static final double SILENT = 3; // periods without any datagram after which peers are taken as unheard
   static final double LINGER = 5; // periods of telling after a jam: others may still be in one
+  static final double MOST_PRICE = 0.02; // of all worth, if each first try is told; in fact half that
   static final int MOST_BYTES = 256; // of a datagram, by the protocol
   static final int KIND = 0x51; // first byte of these datagrams
   static final int ENTRY = 7; // bytes: 33 bits of the customer, 7 of the window's number, 16 of units
@@ -33,16 +34,18 @@
   private final int me;
   private final int nodes;
   private final double intake; // datagrams a second; 0: nothing may be told
+  private final double mostWidth; // of a customer's set; wider ones cost more to tell than they bring
   private final Map<Long, Own> changed = new LinkedHashMap<>(); // by window, in order of change
   private int widest = 1;
   private long jamAt = NEVER;
   private long heardAt = NEVER;
   private long toldAt = NEVER;
 
-  Gossip(int me, int nodes, double intake) {
+  Gossip(int me, int nodes, double intake, double fee) {
     this.me = me;
     this.nodes = nodes;
     this.intake = nodes > 1 ? intake : 0;
+    mostWidth = fee <= 0 ? nodes : 1 + MOST_PRICE / fee * MOST_BYTES / ENTRY;
   }
 
   /** Those that share customers with this node are at most twice the widest set; all may tell at once. */
@@ -59,13 +62,14 @@
     return intake > 0 && now - jamAt <= LINGER * period();
   }
 
-  /** Whether what peers tell is fresh enough to go by. */
-  boolean isHeard(long now) {
-    return isOn(now) && now - heardAt <= SILENT * period();
+  /** Whether what peers tell of customers with so many nodes is fresh enough to go by. */
+  boolean isHeard(long now, int width) {
+    return width <= mostWidth && isOn(now) && now - heardAt <= SILENT * period();
   }
 
   /** This node's sum for a window has changed. */
   void passed(long name, long customer, long number, int first, int width, double units) {
+    if (width > mostWidth) return;
     widest = Math.max(widest, width);
     changed.remove(name);
     Sum sum = new Sum(customer, (int) Math.floorMod(number, (long) TURNS), units);
--- a/src/main/java/saltlatch/Quotas.java
+++ b/src/main/java/saltlatch/Quotas.java
@@ -111,7 +111,8 @@
     w.unsure = 0;
     // Guards against a jam, in which much passes uncounted: others are taken to count as little as this node.
     // Where peers tell what passes uncounted, totals need no such guess.
-    w.byCount += Math.max(0, others - known) / (gossip.isHeard(now) ? 1 : counted) + Math.min(0, others);
+    double part = gossip.isHeard(now, c.width) ? 1 : counted;
+    w.byCount += Math.max(0, others - known) / part + Math.min(0, others);
     w.top += units + known;
     takeIn(w);
   }
@@ -126,7 +127,7 @@
   /** What others passed in a window, by totals or by their telling, whichever knows more, leaves the room. */
   private void takeIn(Window w) {
     Customer c = w.customer;
-    boolean heard = gossip.isHeard(now);
+    boolean heard = gossip.isHeard(now, c.width);
     double known = w.byPeers > 0 ? Math.max(w.byCount, w.byPeers) : w.byCount;
     double use = known - w.others;
     w.others = known;
@@ -225,7 +226,7 @@
 
   /** Without an answer a customer has this node's learned share of its quota, while any of it is left. */
   boolean hasLocalRoom(Customer c, double units) {
-    if (gossip.isHeard(now)) {
+    if (gossip.isHeard(now, c.width)) {
       // Guards against a counter too small for a fleet of many nodes: shares of a store split so many ways
       // hold less than a req. With all passes known but the latest, a req needs room for itself and for what
       // the others will have passed by now; else this node's part of what the store refills.
--- a/src/main/java/saltlatch/api/Site.java
+++ b/src/main/java/saltlatch/api/Site.java
@@ -23,6 +23,9 @@
 
   public record Counting(boolean open, boolean unitsAfter) {}
 
-  /** This node's number, and the datagrams a second that it takes in of the others; 0: none may be sent. */
-  public record Peers(int me, double intake) {}
+  /**
+   * This node's number, the datagrams a second that it takes in of the others (0: none may be sent), and the price of
+   * one full datagram delivered for each client's first try, as a part of all worth.
+   */
+  public record Peers(int me, double intake, double fee) {}
 }
--- a/src/main/java/saltlatch/simhost/Reader.java
+++ b/src/main/java/saltlatch/simhost/Reader.java
@@ -39,7 +39,8 @@
         number(guard, "coldFrom"), number(guard, "fallMultiple"), time(guard, "tipAfter"));
     Site.Counting counting = new Site.Counting(flag(family, "counter"), flag(family, "costAfter"));
     return new Site(seed, (int) number(all, "peersTotal"), time(all, "quantum"), rules, counting,
-        new Site.Peers((int) number(all, "me"), flag(limits, "mayTell") ? number(family, "peerInPerS") : 0), frontends, plans);
+        new Site.Peers((int) number(all, "me"), flag(limits, "mayTell") ? number(family, "peerInPerS") : 0,
+            number(part(all, "fees"), "peer")), frontends, plans);
   }
 
   private static Site.Effect effect(String word) {
--- a/src/test/java/saltlatch/GossipTest.java
+++ b/src/test/java/saltlatch/GossipTest.java
@@ -24,7 +24,7 @@
   /** Sums go to the nodes of the customer's set alone, once a period, and only in and after a jam. */
   @Test
   void tellsTheCustomersNodes() {
-    Gossip g = new Gossip(1, 6, 40);
+    Gossip g = new Gossip(1, 6, 40, 0);
     g.passed(70, 7, 130, 0, 3, 2.5);
     assertEquals(Map.of(), g.due(SECOND));
     g.jam(SECOND);
@@ -33,7 +33,7 @@
     Map<Integer, byte[]> told = g.due(SECOND);
     assertEquals(List.of(2, 3, 5, 0), List.copyOf(told.keySet()));
     assertEquals(1, told.get(3).length); // not of the set, but near: that nothing was passed for it is told as well
-    assertEquals(List.of(new Gossip.Sum(7, 2, 4.5)), new Gossip(2, 6, 40).heard(SECOND, 1, told.get(2)));
+    assertEquals(List.of(new Gossip.Sum(7, 2, 4.5)), new Gossip(2, 6, 40, 0).heard(SECOND, 1, told.get(2)));
     g.passed(70, 7, 130, 0, 3, 5);
     assertEquals(Map.of(), g.due(SECOND + 5_000));
     assertEquals(4, g.due(2 * SECOND).size());
@@ -44,17 +44,17 @@
   /** A datagram holds what fits, the latest first; one of another form, cut short or from a stranger tells nothing. */
   @Test
   void datagramsOfAnotherForm() {
-    Gossip g = new Gossip(0, 2, 40);
+    Gossip g = new Gossip(0, 2, 40, 0);
     g.jam(0);
     for (int i = 0; i < 100; i++) g.passed(i, i, 0, 0, 2, 1);
     byte[] words = g.due(SECOND).get(1);
     assertTrue(words.length <= Gossip.MOST_BYTES && words.length > 250);
-    Gossip peer = new Gossip(1, 2, 40);
+    Gossip peer = new Gossip(1, 2, 40, 0);
     peer.jam(0);
     List<Gossip.Sum> sums = peer.heard(SECOND, 0, words);
     assertEquals(new Gossip.Sum(99, 0, 1), sums.get(0));
     assertEquals(36, sums.size());
-    Gossip deaf = new Gossip(1, 2, 40);
+    Gossip deaf = new Gossip(1, 2, 40, 0);
     deaf.jam(0);
     byte[] other = words.clone();
     other[0] = 0;
@@ -63,20 +63,34 @@
     }
     assertEquals(List.of(), deaf.heard(SECOND, -1, words));
     assertEquals(List.of(), deaf.heard(SECOND, 1, words));
-    assertFalse(deaf.isHeard(SECOND));
-    assertTrue(peer.isHeard(SECOND));
-    assertFalse(peer.isHeard(5 * SECOND)); // silent for more than three periods
+    assertFalse(deaf.isHeard(SECOND, 2));
+    assertTrue(peer.isHeard(SECOND, 2));
+    assertFalse(peer.isHeard(5 * SECOND, 2)); // silent for more than three periods
   }
 
   /** More nodes that share customers tell more seldom: no node is told more than it takes in. */
   @Test
   void periodFollowsTheIntake() {
-    Gossip g = new Gossip(0, 100, 40);
+    Gossip g = new Gossip(0, 100, 40, 0);
     assertEquals(SECOND, g.period());
     g.passed(1, 1, 0, 0, 40, 1);
     assertTrue(78 / (g.period() / SECOND) <= 40 * Gossip.INTAKE + 0.01);
   }
 
+  /** A set so wide that telling each of its nodes costs more than a fiftieth of all worth is left to shares. */
+  @Test
+  void wideSetsAreNotTold() {
+    Gossip g = new Gossip(0, 100, 40, 0.041);
+    g.jam(0);
+    g.passed(1, 1, 0, 0, 60, 1);
+    assertEquals(Map.of(), g.due(SECOND));
+    g.heard(SECOND, 1, new byte[] {Gossip.KIND});
+    assertTrue(g.isHeard(SECOND, 14));
+    assertFalse(g.isHeard(SECOND, 60));
+    g.passed(2, 2, 0, 0, 14, 1);
+    assertEquals(13, g.due(3 * SECOND).values().stream().filter(w -> w.length > 1).count());
+  }
+
   /** Plays ten nodes of one customer without a counter; the units they pass and the reqs they deny with room left. */
   private static double[] play(double intake, double reqsPerSecond, double lost) {
     SplittableRandom chance = new SplittableRandom(5);
@@ -85,7 +99,7 @@
     List<Quotas> quotas = new ArrayList<>();
     for (int i = 0; i < n; i++) {
       Site site = Trace.site(i, n, PLAN, false, false, i, intake);
-      gossips.add(new Gossip(i, n, intake));
+      gossips.add(new Gossip(i, n, intake, 0));
       quotas.add(new Quotas(0, site, gossips.get(i)));
     }
     double store = PLAN.burst();
@@ -142,7 +156,7 @@
       t.now += 300;
       t.counted(Outcome.LATE);
     }
-    Gossip peer = new Gossip(1, 2, 40);
+    Gossip peer = new Gossip(1, 2, 40, 0);
     peer.jam(t.now);
     peer.passed(0, 9, t.now / 30_000, 0, 2, 1);
     t.say("peer 1 passed 1 of customer 9");
--- a/src/test/java/saltlatch/Trace.java
+++ b/src/test/java/saltlatch/Trace.java
@@ -47,7 +47,7 @@
 
   static Site site(long seed, int nodes, Site.Plan plan, boolean unitsAfter, boolean follow, int me, double intake) {
     Site.Rules rules = new Site.Rules(follow, true, 4, true, 10_000, true, 100_000, 0.2, 4, 10_000);
-    return new Site(seed, nodes, 20, rules, new Site.Counting(true, unitsAfter), new Site.Peers(me, intake),
+    return new Site(seed, nodes, 20, rules, new Site.Counting(true, unitsAfter), new Site.Peers(me, intake, 0),
         List.of(REPLAYABLE, UNIQUED, ONCE), List.of(plan));
   }
 
