Read over: the lab uses the node's RespReader, faults are looked up once, room is worked out once

Need: reading the whole change again. Written twice were: a RESP2 reader in the lab's ChildNode beside RespReader (its INFO and PING answers are read by that now); the look for a fault that holds, in CounterStub, DiscoveryStub and Box (Scenario.Fault.anyHolds); a node's wrapper in Lab that only passed calls on (ChildNode is a Lab.Node); Emulator.figures beside Emulator.read; the constants SECOND and AGEING. In a jam with peers heard a req's room was worked out twice at one instant; nodes that may tell nothing kept a list of what they passed, thrown away each 100 ms. The wait for the counter is the least of its frontends without a nought that stood for none.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -145,7 +145,7 @@
   private final List<Req> touched = new ArrayList<>();
   private final List<Call> wantCalls = new ArrayList<>();
   private long now, longest; // the latter: client timeout
-  private double countWait; // a count call is waited for so long
+  private long countWait = Long.MAX_VALUE; // a count call is waited for so long
   private int misses; // count calls in a row without an answer
   private double gap; // between count calls; 0: the counter is well
   private long nextCall, nextGap, judgedAt;
@@ -168,7 +168,7 @@
     for (Site.Frontend f : site.frontends()) {
       kinds.add(new Kind(f));
       longest = Math.max(longest, f.clientTimeout());
-      countWait = COUNT_WAIT * f.target() < countWait || countWait == 0 ? COUNT_WAIT * f.target() : countWait;
+      countWait = Math.min(countWait, (long) (COUNT_WAIT * f.target()));
     }
     roundAt = now + ROUND;
   }
@@ -232,7 +232,7 @@
       call(r.window, r, r.charged);
       return;
     }
-    decide(r, !full && quotas.hasLocalRoom(r.customer, r.reserved));
+    decide(r, !full && (heard || quotas.hasLocalRoom(r.customer, r.reserved)));
     r.window.owed += r.admitted ? r.reserved : 0;
   }
 
@@ -604,7 +604,7 @@
       // Guards against a busy counter whose answers all come a little late and are thrown away: they are
       // waited for, as far as response targets leave time. Harms while it is silent: its test calls hold
       // their reqs.
-      to.count(c.window().name, c.units(), keep, (long) countWait);
+      to.count(c.window().name, c.units(), keep, countWait);
     }
     wantCalls.clear();
   }
--- a/src/main/java/saltlatch/Gossip.java
+++ b/src/main/java/saltlatch/Gossip.java
@@ -23,7 +23,6 @@
   static final int ENTRY = 7; // bytes: 33 bits of the customer, 7 of the window's number, 16 of units
   static final double GRAIN = 16; // parts of a unit that sums are told in
   static final int TURNS = 128; // windows' numbers are told modulo this
-  private static final double SECOND = 10_000;
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   /** Units that one node passed of a customer in one window, so far. */
@@ -50,7 +49,8 @@
 
   /** Those that share customers with this node are at most twice the widest set; all may tell at once. */
   double period() {
-    return Math.max(PERIOD, Math.min(nodes - 1, 2 * (widest - 1)) * SECOND / Math.max(1, INTAKE * intake));
+    int tellers = Math.min(nodes - 1, 2 * (widest - 1));
+    return Math.max(PERIOD, tellers * Quotas.SECOND / Math.max(1, INTAKE * intake));
   }
 
   /** The counter is not well. */
@@ -69,7 +69,7 @@
 
   /** This node's sum for a window has changed. */
   void passed(long name, long customer, long number, int first, int width, double units) {
-    if (width > mostWidth) return;
+    if (intake <= 0 || width > mostWidth) return;
     widest = Math.max(widest, width);
     changed.remove(name);
     Sum sum = new Sum(customer, (int) Math.floorMod(number, (long) TURNS), units);
@@ -79,8 +79,11 @@
   /** What is due now: a datagram for each peer with a customer whose sum has changed, the latest first. */
   Map<Integer, byte[]> due(long now) {
     Map<Integer, byte[]> out = new LinkedHashMap<>();
-    if (!isOn(now)) changed.clear();
-    if (!isOn(now) || now - toldAt < period()) return out;
+    if (!isOn(now)) {
+      changed.clear();
+      return out;
+    }
+    if (now - toldAt < period()) return out;
     toldAt = now;
     List<Own> latest = new ArrayList<>(changed.values());
     for (int step = 1; step < nodes; step++) {
--- a/src/main/java/saltlatch/Quotas.java
+++ b/src/main/java/saltlatch/Quotas.java
@@ -23,7 +23,6 @@
   static final double MOST_TOLD = 8; // bursts: a peer that tells of more in one window is wrong
   static final double NOUGHT = 0.01; // units: totals come to seven digits
   static final double COUNTED = 0.05; // step of the part of charges counted before the turn: 20 windows
-  static final long AGEING = Control.AGEING; // unseen for so long a customer is forgotten
 
   /** One customer's count for one window; lives for the window and the longest client timeout. */
   static final class Window {
@@ -90,7 +89,8 @@
   void forget() {
     customers.each(c -> {
       boolean full = ceilingAllows(c, 0) && c.store >= c.plan.ceilingBurst() / c.width;
-      if (now - c.seen > AGEING && c.out == 0 && (full || c.plan.ceilingRate() <= 0)) customers.release(c.id);
+      boolean unseen = now - c.seen > Control.AGEING && c.out == 0;
+      if (unseen && (full || c.plan.ceilingRate() <= 0)) customers.release(c.id);
     });
   }
 
--- a/src/main/java/saltlatch/lab/emulator/CounterStub.java
+++ b/src/main/java/saltlatch/lab/emulator/CounterStub.java
@@ -113,8 +113,7 @@
   }
 
   private boolean holds(String kind, double now) {
-    for (Fault f : spec.faults()) if (f.kind().equals(kind) && f.holds(now)) return true;
-    return false;
+    return Fault.anyHolds(spec.faults(), kind, now);
   }
 
   private void accept(NetSocket socket, int group) {
--- a/src/main/java/saltlatch/lab/emulator/DiscoveryStub.java
+++ b/src/main/java/saltlatch/lab/emulator/DiscoveryStub.java
@@ -77,11 +77,6 @@
     return out;
   }
 
-  private boolean holds(String kind, double ms) {
-    for (Fault f : s.discovery().faults()) if (f.kind().equals(kind) && f.holds(ms)) return true;
-    return false;
-  }
-
   private double lateBy(double ms) {
     double late = 0;
     for (Fault f : s.discovery().faults()) if (f.kind().equals("late") && f.holds(ms)) late = Math.max(late, f.extraMs());
@@ -90,7 +85,7 @@
 
   private void look() {
     double now = clock.nowMs();
-    if (holds("stale", now)) return;
+    if (Fault.anyHolds(s.discovery().faults(), "stale", now)) return;
     List<Boolean> truthNow = present(now - lateBy(now));
     if (truthNow.equals(told)) return;
     List<Boolean> before = told;
--- a/src/main/java/saltlatch/lab/emulator/Emulator.java
+++ b/src/main/java/saltlatch/lab/emulator/Emulator.java
@@ -140,8 +140,7 @@
 
   /** The stand-ins' own counts, for the run file. */
   public Future<Map<String, Long>> figures() {
-    Promise<Map<String, Long>> out = Promise.promise();
-    vertx.runOnContext(v -> {
+    return read(t -> {
       Map<String, Long> m = new LinkedHashMap<>();
       m.put("server_commands", servers.commands());
       m.put("server_spoilt", servers.spoilt());
@@ -151,9 +150,8 @@
       m.put("discovery_fetches", discovery.fetches());
       m.put("peer_datagrams_carried", relay.carried());
       m.put("peer_datagrams_lost", relay.lost());
-      out.complete(m);
+      return m;
     });
-    return out.future();
   }
 
   /** App servers' ports, in the order of their names {@code s-0, s-1, ...}. */
--- a/src/main/java/saltlatch/lab/plan/Box.java
+++ b/src/main/java/saltlatch/lab/plan/Box.java
@@ -42,7 +42,7 @@
 
   /** A new connection at {@code nowMs}: refused while a {@code refuse} fault holds. */
   public boolean accepts(double nowMs) {
-    for (Fault f : faults) if (f.kind().equals("refuse") && f.holds(nowMs)) return false;
+    if (Fault.anyHolds(faults, "refuse", nowMs)) return false;
     return true;
   }
 
--- a/src/main/java/saltlatch/lab/run/ChildNode.java
+++ b/src/main/java/saltlatch/lab/run/ChildNode.java
@@ -1,5 +1,6 @@
 package saltlatch.lab.run;
 
+import io.vertx.core.buffer.Buffer;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -13,13 +14,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import saltlatch.wire.Resp;
+import saltlatch.wire.RespReader;
 
 /**
  * An edge node as a child process, started with the {@code run} line's JVM flags and {@code serve}, for machines
  * other than the bench's platform (which allows one exec'ed process and no fork). Its figures come from {@code INFO}
  * over its own port; its CPU and RSS from {@code /proc}. Stopped with SIGTERM, as the platform stops a node.
  */
-final class ChildNode {
+final class ChildNode implements Lab.Node {
   private static final long READY_MS = 30_000; // a node must answer PING within this, as on the platform
 
   private final Process process;
@@ -45,7 +48,9 @@
     long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MS);
     while (System.nanoTime() < until) {
       try {
-        if (node.ask("*1\r\n$4\r\nPING\r\n").startsWith("+PONG")) return node;
+        if (node.ask("*1\r\n$4\r\nPING\r\n") instanceof Resp.Line l && l.type() == '+' && l.text().startsWith("PONG")) {
+          return node;
+        }
       } catch (IOException e) {
         Thread.sleep(50);
       }
@@ -54,15 +59,15 @@
     throw new IOException("node " + index + " not ready in " + READY_MS + " ms");
   }
 
-  int port() {
+  @Override
+  public int port() {
     return port;
   }
 
   /** The node's INFO counters, with its CPU ms and resident KB from /proc. */
-  Map<String, Long> figures() throws IOException {
-    String info = ask("*1\r\n$4\r\nINFO\r\n");
-    int start = info.indexOf("\r\n");
-    Map<String, Long> m = Lab.parse(start < 0 ? "" : info.substring(start + 2).replace("\r\n", "\n"));
+  @Override
+  public Map<String, Long> figures() throws IOException {
+    Map<String, Long> m = Lab.parse(ask("*1\r\n$4\r\nINFO\r\n") instanceof Resp.Bulk info ? info.text() : "");
     long pid = process.pid();
     String[] stat = Files.readString(Path.of("/proc/" + pid + "/stat")).split(" ");
     m.put("process_cpu_ms", (Long.parseLong(stat[13]) + Long.parseLong(stat[14])) * 10); // clock ticks of 10 ms
@@ -73,12 +78,14 @@
   }
 
   /** SIGTERM, then waits for the node's drain; SIGKILL if it does not end. */
-  void stop() throws InterruptedException {
+  @Override
+  public void stop() throws InterruptedException {
     process.destroy();
     if (!process.waitFor(10, TimeUnit.SECONDS)) process.destroyForcibly();
   }
 
-  private String ask(String command) throws IOException {
+  /** What the node answers; null if it ends the connection before. */
+  private Resp ask(String command) throws IOException {
     try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port)) {
       s.setSoTimeout(2_000);
       OutputStream out = s.getOutputStream();
@@ -86,25 +93,19 @@
       out.flush();
       InputStream in = s.getInputStream();
       byte[] buf = new byte[16_384];
-      StringBuilder got = new StringBuilder();
+      RespReader reader = new RespReader();
       int n;
       while ((n = in.read(buf)) > 0) {
-        got.append(new String(buf, 0, n, StandardCharsets.ISO_8859_1));
-        if (complete(got)) break;
+        reader.feed(Buffer.buffer(n).appendBytes(buf, 0, n));
+        Resp answer = reader.next();
+        if (answer != null) return answer;
       }
-      return got.toString();
+      return null;
+    } catch (RespReader.Lost e) {
+      throw new IOException(e);
     }
   }
 
-  /** A simple reply ends at its CRLF; a bulk string at its length. */
-  private static boolean complete(StringBuilder got) {
-    int eol = got.indexOf("\r\n");
-    if (eol < 0) return false;
-    if (got.charAt(0) != '$') return true;
-    int len = Integer.parseInt(got.substring(1, eol));
-    return len < 0 || got.length() >= eol + 2 + len + 2;
-  }
-
   private static int freePort() throws IOException {
     try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       return s.getLocalPort();
--- a/src/main/java/saltlatch/lab/run/Lab.java
+++ b/src/main/java/saltlatch/lab/run/Lab.java
@@ -42,7 +42,7 @@
   public record Children(List<String> jvmFlags, Path jar, Path dir) {}
 
   /** One node, in this process or a child. */
-  private interface Node {
+  interface Node {
     int port();
 
     Map<String, Long> figures() throws Exception;
@@ -68,7 +68,7 @@
     try {
       if (children != null) Files.createDirectories(children.dir());
       for (int i = 0; i < s.nodes(); i++) started.add(children == null ? embedded(emulator.nodeConfig(i))
-          : child(ChildNode.start(emulator.nodeConfig(i), children.jvmFlags(), children.jar(), children.dir(), i)));
+          : ChildNode.start(emulator.nodeConfig(i), children.jvmFlags(), children.jar(), children.dir(), i));
       List<Integer> ports = started.stream().map(Node::port).toList();
       List<Offered.Arrival> schedule = Offered.of(s);
       LOG.info("{}: {} nodes, {} app servers, {} reqs offered over {} s", s.name(), s.nodes(), s.servers().count(),
@@ -123,25 +123,6 @@
     };
   }
 
-  private static Node child(ChildNode c) {
-    return new Node() {
-      @Override
-      public int port() {
-        return c.port();
-      }
-
-      @Override
-      public Map<String, Long> figures() throws Exception {
-        return c.figures();
-      }
-
-      @Override
-      public void stop() throws Exception {
-        c.stop();
-      }
-    };
-  }
-
   /** Writes the run as JSON. */
   public static void write(RunResult r, Path to) throws IOException {
     Files.writeString(to, GSON.toJson(r));
--- a/src/main/java/saltlatch/lab/scenario/Scenario.java
+++ b/src/main/java/saltlatch/lab/scenario/Scenario.java
@@ -67,6 +67,12 @@
       return ms >= atS * 1000 && (forS <= 0 || ms < (atS + forS) * 1000);
     }
 
+    /** True while any of the {@code faults} of this kind holds at {@code ms} since the start. */
+    public static boolean anyHolds(List<Fault> faults, String kind, double ms) {
+      for (Fault f : faults) if (f.kind.equals(kind) && f.holds(ms)) return true;
+      return false;
+    }
+
     /** True if it touches app server {@code index}. */
     public boolean touches(int index) {
       return count <= 0 || (index >= first && index < first + count);
