A node knows that it was away: what lay unread is judged by its age

Seen by hand with SIGSTOP/SIGCONT on the sample node: of 7 reqs sent while it was stopped (client timeout 3 s, 1 s apart) 4 whose clients' time was over went on to the app server; a count's answer read after the stop sent a req out past its client's timeout (Control.decide had no look at the req's end; Control.learn took the whole stop as its app server's time; judgeCounter took a call that the node slept through for the counter's miss). Ruled out: TCP itself, which keeps the bytes, and the client's close, which is read in a later turn than its command where the connection still waited in the accept queue.

Change: a round overdue by more than half of the shortest response target (200 ms at least) is an absence. Control takes the time away out of what is out, judges the counter by later calls alone, and denies at once what nobody waits for. In the wake Pilot tells each req's age by TCP_INFO's time since the connection's last bytes, the age bounded by the absence. The uniqued window still counts from the real sending. INFO: away, away_ms, read_late. Histories: where the configuration names a directory (`history`), each process appends its events as JSON lines through SLF4J and logback; absent in `run`, none of its classes is loaded.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -62,6 +62,7 @@
   static final long VOTES = 100; // tries: how firmly the usual wait is held
   static final double VALUE_TILT = 0.3; // how much a req's value stretches the wait allowed
   static final double VALUE_STEP = 0.01; // step of the mean value: about 100 reqs
+  static final double AWAY = 0.5; // part of the shortest response target: overdue by more, it did not run
   static final double SPREAD_BACK = 0.5; // part of a window over which come-back advice is spread
   static final long TICKS_SPARE = 2; // ticks before the client timeout that a final answer goes out
 
@@ -70,7 +71,8 @@
   /** Lives for one dispatch. */
   private static final class Dispatch {
     Srv srv;
-    long sent;
+    long began; // its sending
+    long sent; // the same, later by the time that this node was away meanwhile
     double pace; // time it was thought to take
     boolean cancelled;
     boolean stale; // too long on a sick app srv: no longer counted as out
@@ -113,7 +115,7 @@
   }
 
   /** A count call; lives until its answer. */
-  record Call(Window window, Req req, double units) {}
+  record Call(Window window, Req req, double units, long at) {}
 
   /** What the instance has learned of a frontend. */
   private static final class Kind {
@@ -145,6 +147,8 @@
   private final List<Req> touched = new ArrayList<>();
   private final List<Call> wantCalls = new ArrayList<>();
   private long now, longest; // the latter: client timeout
+  private final long awayAfter;
+  private long backAt; // this node was away until then
   private long countWait = Long.MAX_VALUE; // a count call is waited for so long
   private int misses; // count calls in a row without an answer
   private double gap; // between count calls; 0: the counter is well
@@ -165,17 +169,26 @@
     chance = new SplittableRandom(site.seed());
     gossip = new Gossip(site.peers().me(), site.nodes(), site.peers().intake(), site.peers().fee());
     quotas = new Quotas(now, site, gossip);
+    long shortest = Long.MAX_VALUE;
     for (Site.Frontend f : site.frontends()) {
+      shortest = Math.min(shortest, f.target());
       kinds.add(new Kind(f));
       longest = Math.max(longest, f.clientTimeout());
       countWait = Math.min(countWait, (long) (COUNT_WAIT * f.target()));
     }
+    awayAfter = Math.max(2 * ROUND, (long) (AWAY * shortest));
     roundAt = now + ROUND;
   }
 
+  @Override
+  public long awayAfter() { return awayAfter; }
+
   @Override
   public void handle(long at, List<Event> events) {
+    boolean away = roundSet > 0 && at - Math.max(roundSet, now) > awayAfter;
+    long ran = now;
     now = at;
+    if (away) back(ran);
     quotas.at(at);
     for (Event e : events) {
       if (e instanceof Event.Arrived a) arrived(a);
@@ -192,6 +205,23 @@
     bring();
   }
 
+  /**
+   * Its round is long overdue: this node was stopped, or starved, since it last ran. Guards against beliefs
+   * that its own absence made: app srvs silent and slow, a counter without answers. Harms where the host's
+   * clock leaps. The time away is taken out of what is measured; what came meanwhile is as old as is told.
+   */
+  private void back(long ran) {
+    backAt = now;
+    srvs.each(s -> s.heardAt = now);
+    reqs.each(r -> {
+      Dispatch d = r.live;
+      if (d == null) return;
+      d.sent += now - ran;
+      d.srv.paceBase += (now - ran) / d.pace;
+    });
+    to.note("was away for " + (now - ran) / 10 + " ms");
+  }
+
   // ---- arriving and counting
 
   private void arrived(Event.Arrived a) {
@@ -199,9 +229,9 @@
     r.told = a;
     r.kind = kinds.get(a.frontend());
     r.customer = quotas.customer(a);
-    r.end = now + a.left() - TICKS_SPARE * site.tick();
+    r.end = now + a.left() - a.age() - TICKS_SPARE * site.tick();
     boolean usual = r.kind.isUsual(a.left(), site.tick());
-    long waited = usual ? longest : r.kind.rule.clientTimeout() - a.left();
+    long waited = usual ? longest : r.kind.rule.clientTimeout() - a.left() + a.age();
     boolean further = rules.marksTries() ? a.repeat() : !usual;
     r.belated = further && waited + PROMPT * pace(r) >= r.kind.rule.target();
     touch(r);
@@ -238,7 +268,7 @@
 
   /** Wants a count call, which carries what is owed there too. */
   private void call(Window w, Req r, double units) {
-    Call c = new Call(w, r, units + w.owed);
+    Call c = new Call(w, r, units + w.owed, now);
     w.owed = 0;
     w.calls.add(c);
     wantCalls.add(c);
@@ -250,7 +280,8 @@
     Call call = w.calls.poll();
     Req r = call.req();
     boolean answered = c.how() == Outcome.PASSED;
-    judgeCounter(answered);
+    // Guards against a counter taken for bad, or for well, by a call that this node was away under.
+    if (call.at() >= backAt) judgeCounter(answered);
     if (answered) {
       quotas.follow(w, call.units(), c.total());
       if (r == null) return;
@@ -297,6 +328,11 @@
   private void decide(Req r, boolean room) {
     if (r.over || r.wantEnd != End.NONE) return;
     touch(r);
+    // Guards against a count's answer that was read long after it came: nobody waits for this req any more.
+    if (r.end <= now) {
+      finish(r, End.DENIED, 0);
+      return;
+    }
     Customer c = r.customer;
     boolean open = c.plan.parallel() <= 0 || c.out < Math.max(1, Math.ceil(c.plan.parallel() * c.share));
     if (!room) {
@@ -462,7 +498,7 @@
     r.over |= e.over();
     if (e.how() == Outcome.PASSED && e.actual() > 0 && site.counting().unitsAfter()) settle(r, e.actual());
     if (!e.how().neverRan() && r.ranSince < 0) {
-      r.ranSince = d.sent;
+      r.ranSince = d.began;
       r.ranOn = d.srv;
     }
     if (!r.over && r.wantEnd == End.NONE) again(r, e.how());
@@ -612,7 +648,7 @@
   private void dispatch(Req r) {
     Dispatch d = new Dispatch();
     d.srv = r.next;
-    d.sent = now;
+    d.began = d.sent = now;
     d.pace = pace(r);
     r.live = d;
     r.last = d.srv;
--- a/src/main/java/saltlatch/api/Event.java
+++ b/src/main/java/saltlatch/api/Event.java
@@ -22,9 +22,12 @@
 
   record Listed(ListKind kind, List<Entry> entries) implements Event {}
 
-  /** A req: its client waits {@code left}; the customer uses {@code width} nodes from {@code first} on. */
+  /**
+   * A req: its client waits {@code left} from when it sent it; the customer uses {@code width} nodes from {@code first}
+   * on; {@code age}: known to have lain unread for so long while this node was away.
+   */
   record Arrived(long rid, int frontend, int plan, long customer, long left, double units,
-      int width, int first, boolean repeat) implements Event {}
+      int width, int first, boolean repeat, long age) implements Event {}
 
   /** The answer has begun to stream; the client timeout no longer runs. */
   record Begun(long rid, long srv, int dispatch, long spent) implements Event {}
--- a/src/main/java/saltlatch/api/Gateway.java
+++ b/src/main/java/saltlatch/api/Gateway.java
@@ -7,6 +7,11 @@
   /** Events of one instant, in order of arrival; {@code now} is the common clock in tenths of a ms. */
   void handle(long now, List<Event> events);
 
+  /** Overdue by more than this, the host has not run: what it reads then may have lain unread, and its age is told. */
+  default long awayAfter() {
+    return Long.MAX_VALUE;
+  }
+
   /** Starts an instance; a list event of kind CACHED follows in the first batch. */
   interface Maker {
     Gateway start(long now, Site site, Actions out);
--- a/src/main/java/saltlatch/node/Pilot.java
+++ b/src/main/java/saltlatch/node/Pilot.java
@@ -9,6 +9,7 @@
 import saltlatch.api.Actions;
 import saltlatch.api.Event;
 import saltlatch.api.Gateway;
+import saltlatch.history.History;
 import saltlatch.state.Counters;
 import saltlatch.state.Counters.Count;
 import saltlatch.state.Exchange;
@@ -53,13 +54,18 @@
   private boolean scheduled;
   private long armedFor = Long.MAX_VALUE;
   private long armed;
+  private long ranAt; // this loop was seen running then
+  private long backAt = Long.MIN_VALUE; // it was away until then
+  private long awayFor;
+  private final History history; // null: none is kept, and none of its classes are loaded
   private Gateway gateway;
   private AppServers appServers;
   private CounterClient counter;
   private Discovery discovery;
   private Peers peers;
 
-  Pilot(Vertx vertx, Context loop, Station station, Counters counters, long mostBytes) {
+  Pilot(Vertx vertx, Context loop, Station station, Counters counters, long mostBytes, History history) {
+    this.history = history;
     this.vertx = vertx;
     this.loop = loop;
     this.station = station;
@@ -95,6 +101,7 @@
   void move(Station to) {
     counters.add(Count.RELOADS);
     LOG.info("discovery at {}, counter at {}", to.discovery(), to.counter());
+    if (history != null) history.add("reloaded");
     discovery.move(to.discovery());
     if (counter != null && to.counter() != null) counter.move(to.counter());
   }
@@ -121,12 +128,37 @@
     armedFor = next;
     if (next == Long.MAX_VALUE) return;
     armed = vertx.setTimer(Math.max(1, (next - clock.now() + 9) / 10), id -> {
+      look();
       armedFor = Long.MAX_VALUE;
       timers.run(clock.now());
       arm();
     });
   }
 
+  /**
+   * Looks whether this loop has been away (stopped, or starved of its core): its timer is overdue by more than the module
+   * puts up with. Called before anything that was read meanwhile is told.
+   */
+  private void look() {
+    long at = clock.now();
+    if (armedFor != Long.MAX_VALUE && at - Math.max(armedFor, ranAt) > gateway.awayAfter()) {
+      backAt = at;
+      awayFor = at - ranAt;
+      counters.add(Count.AWAY);
+      counters.add(Count.AWAY_MS, awayFor / 10);
+      if (history != null) history.add("away", "for_ms", awayFor / 10);
+    }
+    ranAt = at;
+  }
+
+  /** For how long a command that is read now has lain unread: known, and asked for, only in the wake of an absence. */
+  private long age(Exchange.Client client) {
+    if (clock.now() - backAt > awayFor) return 0;
+    long age = Math.min(client.unreadFor(), awayFor + clock.now() - backAt);
+    if (age > gateway.awayAfter()) counters.add(Count.READ_LATE);
+    return age;
+  }
+
   // ---- events
 
   private void add(Event e) {
@@ -138,6 +170,7 @@
 
   private void flush() {
     scheduled = false;
+    look();
     List<Event> events = batch;
     batch = new ArrayList<>();
     try {
@@ -160,12 +193,14 @@
 
   @Override
   public void abandon(Exchange x) {
+    told(x, "aborted");
     x.aborted();
     left(x);
   }
 
   @Override
   public Exchange arrived(Request req, Exchange.Client client) {
+    look();
     int frontend = frontends.find(req.frontend);
     int plan = plans.find(req.plan);
     counters.add(Count.REQS);
@@ -181,13 +216,19 @@
       client.denied(0);
       return null;
     }
+    long age = age(client);
+    if (history != null) {
+      history.add("arrived", "id", req.id, "customer", Long.toHexString(req.customer), "units", req.units,
+          "wait_ms", req.waitMs, "age_ms", age / 10, "query", req.query);
+    }
     add(new Event.Arrived(x.rid, frontend, plan, req.customer, req.waitMs * 10, req.units, req.width, req.first,
-        req.repeat));
+        req.repeat, age));
     return x;
   }
 
   @Override
   public void left(Exchange x) {
+    told(x, "left");
     x.left();
     counters.add(Count.CLIENTS_LEFT);
     add(new Event.ClientLeft(x.rid));
@@ -196,13 +237,24 @@
 
   @Override
   public void ended(Exchange x, int dispatch, int srv, Answer answer, long spent) {
-    if (answer.ending() == Ending.ANSWERED) x.passed(answer.value());
+    if (history != null) {
+      history.add("ended", "id", x.req.id, "srv", srvs.name(srv), "dispatch", dispatch, "how", answer.ending().name());
+    }
+    if (answer.ending() == Ending.ANSWERED) {
+      told(x, "passed");
+      x.passed(answer.value());
+    }
     add(new Event.Ended(x.rid, srv, dispatch, answer.ending().outcome(), x.over(), spent, answer.actual(),
         answer.fleetUse(), load(answer)));
     exchanges.ended(x);
     release();
   }
 
+  /** Its one end, for the history. */
+  private void told(Exchange x, String how) {
+    if (history != null && !x.over()) history.add("answered", "id", x.req.id, "how", how);
+  }
+
   @Override
   public void probed(int srv, Answer answer, long spent) {
     add(new Event.Probed(srv, answer.ending().outcome(), spent, load(answer)));
@@ -283,6 +335,9 @@
     Exchange x = exchanges.find(rid);
     if (x == null) return;
     int dispatch = exchanges.begin(x);
+    if (history != null) {
+      history.add("dispatched", "id", x.req.id, "srv", srvs.name((int) srv), "dispatch", dispatch, "cap_ms", cap / 10);
+    }
     try {
       appServers.dispatch(x, dispatch, (int) srv, cap);
     } catch (RuntimeException e) {
@@ -297,6 +352,7 @@
   public void deny(long rid, long pause) {
     Exchange x = exchanges.find(rid);
     if (x == null) return;
+    told(x, "denied");
     x.denied(pause / 10);
     exchanges.release(x);
   }
@@ -305,6 +361,7 @@
   public void abort(long rid) {
     Exchange x = exchanges.find(rid);
     if (x == null) return;
+    told(x, "aborted");
     x.aborted();
     exchanges.release(x);
   }
@@ -355,5 +412,6 @@
   @Override
   public void note(String text) {
     LOG.info(text);
+    if (history != null) history.add("note", "text", text);
   }
 }
--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -17,6 +17,7 @@
 import org.slf4j.LoggerFactory;
 import saltlatch.api.Gateway;
 import saltlatch.api.Site;
+import saltlatch.history.History;
 import saltlatch.state.Counters;
 import saltlatch.state.Counters.Count;
 import saltlatch.wire.Door;
@@ -38,6 +39,7 @@
   private final Counters counters = new Counters();
   private final Pilot pilot;
   private final Door door;
+  private final History history; // null: the configuration names no directory for it
 
   Serve(Station station) {
     this.station = station;
@@ -48,7 +50,10 @@
     vertx.exceptionHandler(this::unexpected);
     loop = vertx.getOrCreateContext();
     loop.exceptionHandler(this::unexpected);
-    pilot = new Pilot(vertx, loop, station, counters, station.memoryMb() * 1024L * 1024 / BYTES_PART);
+    history = station.history() == null ? null
+        : new History(station.history(), station.name(), ProcessHandle.current().pid() + "-" + System.nanoTime());
+    if (history != null) history.add("started", "nodes", station.site().nodes());
+    pilot = new Pilot(vertx, loop, station, counters, station.memoryMb() * 1024L * 1024 / BYTES_PART, history);
     door = new Door(vertx, pilot, pilot, counters, station.clientLinks());
   }
 
@@ -136,6 +141,7 @@
       door.open(station.listen()).onFailure(open::fail).onSuccess(done -> {
         door.ready();
         LOG.info("{} serves on {}", station.name(), station.listen());
+        if (history != null) history.add("ready");
         open.complete();
         pilot.follow();
       });
@@ -189,12 +195,14 @@
   /** On SIGTERM. */
   private void terminate() {
     LOG.info("stops");
+    if (history != null) history.add("stops");
     try {
       stop().toCompletionStage().toCompletableFuture().get(MOST_WAIT_MS + KILL_MS, TimeUnit.MILLISECONDS);
     } catch (ExecutionException | InterruptedException | TimeoutException e) {
       LOG.warn("not all clients were done: {}", e.toString());
     }
     LOG.info("{}", pilot.figures().replace('\n', ' '));
+    if (history != null) history.add("ends", "figures", pilot.figures().replace('\n', ' '));
   }
 
   private void unexpected(Throwable e) {
--- a/src/main/java/saltlatch/node/Station.java
+++ b/src/main/java/saltlatch/node/Station.java
@@ -4,6 +4,7 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import io.vertx.core.net.SocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import saltlatch.api.Site;
@@ -13,7 +14,7 @@
 
 /** Where this node stands and what it may use, decoded once from its configuration. Times are tenths of a ms. */
 record Station(String name, SocketAddress listen, SocketAddress discovery, SocketAddress counter,
-    SocketAddress peerListen, List<SocketAddress> peers, SocketAddress peersAll, int memoryMb, int descriptors,
+    SocketAddress peerListen, List<SocketAddress> peers, SocketAddress peersAll, Path history, int memoryMb, int descriptors,
     long connectTime, long idleTime, long countLimit, boolean mayTell, double mostUnits,
     List<String> loadFields, List<String> frontends,
     List<String> plans, List<String> zones, List<String> types, TargetList known, Site site) {
@@ -52,6 +53,7 @@
     List<SocketAddress> peers = words(all, "peers").stream().map(Station::address).toList();
     return new Station(all.get("name").getAsString(), address(all, "listen"), address(all, "discovery"),
         address(all, "counter"), address(all, "peer_listen"), peers, address(all, "peers_all"),
+        all.has("history") ? Path.of(all.get("history").getAsString()) : null,
         limits.get("memory_mb").getAsInt(), descriptors,
         time(use, "connectTimeout"), time(use, "connIdle"), time(Reader.part(settings, "familyInfo"), "countLimit"),
         Reader.flag(use, "mayTell"), most(Reader.part(settings, "familyInfo"), "unitsTop"),
--- a/src/main/java/saltlatch/simhost/SimHost.java
+++ b/src/main/java/saltlatch/simhost/SimHost.java
@@ -136,7 +136,7 @@
         return new Event.Arrived(rid, in.get(at + 22) & 255, in.getShort(at + 8) & 0xffff,
             in.getLong(at + 23), Reply.tenths(in.getDouble(at + 10)), in.getFloat(at + 33),
             Math.round(in.getFloat(at + 18)), Math.round(in.getFloat(at + 37)),
-            (in.getShort(at + 31) & 2) != 0);
+            (in.getShort(at + 31) & 2) != 0, 0);
       case 259:
         return new Event.Begun(rid, in.getInt(at + 16) & 0xffffffffL, in.get(at + 20) & 255,
             Reply.tenths(in.getDouble(at + 8)));
--- a/src/main/java/saltlatch/state/Counters.java
+++ b/src/main/java/saltlatch/state/Counters.java
@@ -12,13 +12,17 @@
     CONNECTIONS_OPENED, CONNECTIONS_BROKEN, DISPATCHED, DISPATCHES_PASSED, DISPATCHES_ENDED_OTHERWISE, PROBED,
     COUNTED, COUNTS_ANSWERED, COUNTS_ENDED_OTHERWISE, COUNTER_OPENED, COUNTER_BROKEN,
     WATCHES, WATCHES_BROKEN, FETCHES, LISTS, LISTS_MALFORMED,
-    PEERS_TOLD, PEERS_HEARD, PEERS_FAILED, RELOADS, RELOADS_FAILED, EXCEPTIONS
+    PEERS_TOLD, PEERS_HEARD, PEERS_FAILED, RELOADS, RELOADS_FAILED, AWAY, AWAY_MS, READ_LATE, EXCEPTIONS
   }
 
   private final long[] all = new long[Count.values().length];
 
   public void add(Count what) {
-    all[what.ordinal()]++;
+    add(what, 1);
+  }
+
+  public void add(Count what, long n) {
+    all[what.ordinal()] += n;
   }
 
   /** A line each, those at nought too. */
--- a/src/main/java/saltlatch/state/Exchange.java
+++ b/src/main/java/saltlatch/state/Exchange.java
@@ -11,6 +11,9 @@
     void denied(long pauseMs);
 
     void aborted();
+
+    /** How long ago the last bytes came on its connection, by the system; 0 if that is not known. */
+    long unreadFor();
   }
 
   public final long rid;
--- a/src/main/java/saltlatch/state/Names.java
+++ b/src/main/java/saltlatch/state/Names.java
@@ -23,6 +23,11 @@
     return numbers.getOrDefault(name, -1);
   }
 
+  /** The name that has this number, or null. */
+  public String name(int number) {
+    return number >= 0 && number < names.size() ? names.get(number) : null;
+  }
+
   public int number(String name) {
     Integer known = numbers.get(name);
     if (known != null) return known;
--- a/src/main/java/saltlatch/wire/ClientLink.java
+++ b/src/main/java/saltlatch/wire/ClientLink.java
@@ -40,6 +40,11 @@
       return x != null && answer == null;
     }
 
+    @Override
+    public long unreadFor() {
+      return Unread.time(socket);
+    }
+
     private void fill(Buffer text) {
       answer = text;
       flush();
--- a/src/test/java/saltlatch/ControlTest.java
+++ b/src/test/java/saltlatch/ControlTest.java
@@ -351,7 +351,9 @@
     for (int i = 1; i <= 8; i++) {
       t.arrive(i, REPLAYABLE, 1);
     }
-    t.now += 8_000;
+    t.now += 4_000;
+    t.tell(); // it runs, without its round: no absence
+    t.now += 4_000;
     t.ended(1, 0, Outcome.PASSED);
     t.left = 2_600;
     t.arrive(9, REPLAYABLE, 1);
@@ -365,6 +367,35 @@
     t.matches("pressure");
   }
 
+  /**
+   * Stopped for 8 s and continued: reqs that lay unread longer than their clients wait are denied with no call and no
+   * dispatch, one that came late in it is served in what is left, a count's old answer sends nothing out for a client
+   * that has gone, and the own absence counts neither against app srvs nor against the counter.
+   */
+  @Test
+  void away() throws IOException {
+    t.start(Trace.site(Trace.FIRM, false, false));
+    t.list("11/1", "12/1");
+    t.pass(1_500);
+    t.arrive(1, REPLAYABLE, 1);
+    t.counted(1);
+    t.arrive(2, REPLAYABLE, 1);
+    t.arrive(3, REPLAYABLE, 1);
+    t.now += 80_000;
+    t.age = 60_000;
+    t.arrive(4, REPLAYABLE, 1);
+    t.age = 10_000;
+    t.arrive(5, REPLAYABLE, 1);
+    t.counted(2);
+    t.counted(Outcome.LATE);
+    t.counted(3);
+    t.ended(1, 0, Outcome.PASSED);
+    t.ended(5, 0, Outcome.PASSED);
+    t.age = 0;
+    for (int i = 6; i < 10; i++) t.arrive(i, ONCE, 1);
+    t.matches("away");
+  }
+
   /** Dispatches stuck on one sick app srv do not use up what may be out beside it. */
   @Test
   void sickSrv() {
--- a/src/test/java/saltlatch/GossipTest.java
+++ b/src/test/java/saltlatch/GossipTest.java
@@ -118,7 +118,7 @@
       }
       if (chance.nextDouble() >= 0.02 * reqsPerSecond) continue;
       Quotas q = quotas.get(chance.nextInt(n));
-      Customer c = q.customer(new Event.Arrived(1, 0, 0, 9, 30_000, 2, n, 0, false));
+      Customer c = q.customer(new Event.Arrived(1, 0, 0, 9, 30_000, 2, n, 0, false, 0));
       Quotas.Window w = q.window(c, false);
       if (q.hasLocalRoom(c, 2)) {
         q.pass(w, 2);
--- a/src/test/java/saltlatch/SimHostTest.java
+++ b/src/test/java/saltlatch/SimHostTest.java
@@ -90,7 +90,7 @@
     assertEquals("""
         UNIQUED 10000
         Arrived[rid=1564119492, frontend=0, plan=0, customer=-7930773538597631388, left=2400, units=2.0, width=3, \
-        first=1, repeat=true]
+        first=1, repeat=true, age=0]
         Begun[rid=1564119492, srv=51530247, dispatch=1, spent=92]
         Ended[rid=1564119492, srv=51530247, dispatch=2, how=PASSED, over=true, spent=185, actual=3.0, fleetUse=86.0, \
         load=[1.0]]
--- a/src/test/java/saltlatch/Trace.java
+++ b/src/test/java/saltlatch/Trace.java
@@ -31,6 +31,7 @@
   private Control control;
   long now = 60_000;
   long left = 30_000; // that clients wait
+  long age; // that reqs have lain unread
   boolean muted; // for stretches that tell nothing new
 
   private static Site.Frontend kind(Site.Effect effect, Site.Group group) {
@@ -81,8 +82,8 @@
 
   void arrive(long rid, int frontend, double units, boolean repeat) {
     say("req " + rid + " of frontend " + frontend + ", units " + units + (repeat ? ", a further try" : "")
-        + (left < 30_000 ? ", waits " + left / 10 : ""));
-    tell(new Event.Arrived(rid, frontend, 0, 9, left, units, 2, 0, repeat));
+        + (left < 30_000 ? ", waits " + left / 10 : "") + (age > 0 ? ", lay unread for " + age / 10 : ""));
+    tell(new Event.Arrived(rid, frontend, 0, 9, left, units, 2, 0, repeat, age));
   }
 
   void counted(double total) {
