--- a/src/main/java/saltlatch/node/Pilot.java
+++ b/src/main/java/saltlatch/node/Pilot.java
@@ -55,7 +55,7 @@
   private long armedFor = Long.MAX_VALUE;
   private long armed;
   private long ranAt; // this loop was seen running then
-  private long backAt = Long.MIN_VALUE; // it was away until then
+  private long backAt; // it was away until then; 0: never
   private long awayFor;
   private final History history; // null: none is kept, and none of its classes are loaded
   private Gateway gateway;
@@ -153,7 +153,7 @@
 
   /** For how long a command that is read now has lain unread: known, and asked for, only in the wake of an absence. */
   private long age(Exchange.Client client) {
-    if (clock.now() - backAt > awayFor) return 0;
+    if (backAt == 0 || clock.now() - backAt > awayFor) return 0;
     long age = Math.min(client.unreadFor(), awayFor + clock.now() - backAt);
     if (age > gateway.awayAfter()) counters.add(Count.READ_LATE);
     return age;
--- a/src/test/java/saltlatch/lab/LabTest.java
+++ b/src/test/java/saltlatch/lab/LabTest.java
@@ -77,6 +77,7 @@
     assertTrue(r.passed(), r.checks().toString());
     long answered = r.outcomes().get(Outcome.PASSED) + r.outcomes().get(Outcome.DENIED);
     assertTrue(answered > r.tries() * 0.9, "answered " + answered + " of " + r.tries() + ": " + r.outcomes());
+    assertTrue(r.outcomes().get(Outcome.PASSED) > r.tries() * 0.2, "a good part passes: " + r.outcomes());
     assertTrue(r.outcomes().get(Outcome.DENIED) > 0, "a plan of 6 units a second denies some: " + r.outcomes());
     String html = Report.html(r, r);
     assertTrue(html.contains("<svg") && html.contains("ratio") && !html.contains("FAILED"));
