Rig for many processes: faults on processes and links, a front, histories, a checker

Nothing killed, stopped or restarted one, cut a pair of nodes, or cut one node from the counter; no two processes' views of one moment could be compared.

Change: scenario tables [[processes.faults]] (kill, term, pause; a group at once or rolling; restart with the same or the older plan) and [[links.faults]] (cut, loss, delay, duplicate, reorder, flap; each direction, any pair or group; TCP and datagrams). TCP links run through relays of our own: a cut holds bytes and ends back, and fills the listener's queue, so that new connections never come up. A front deals reqs among the nodes that answer PING and notices late. Every process, the stand-ins, the clients and the director keep a history; five properties are checked over it (Properties), each shown its planted violation (CheckTest). ProcessesIT runs 4 processes of the built jar after package: a node stopped for 6 s, one killed and back at once, a one-way cut with the counter silent and a flapping link.

Found on the way: a channel that is still connecting has no local address, which ended the relays' thread: its ports are bound first, and a stopped relay fails the run. Logback's context of its own appends nothing without an MDC adapter: the run now checks that histories were kept.

--- a/src/main/java/saltlatch/cli/LabCommand.java
+++ b/src/main/java/saltlatch/cli/LabCommand.java
@@ -7,6 +7,7 @@
 import picocli.CommandLine.Option;
 import saltlatch.lab.load.RunResult;
 import saltlatch.lab.report.Report;
+import saltlatch.lab.rig.Processes;
 import saltlatch.lab.run.Lab;
 import saltlatch.lab.scenario.Scenario;
 
@@ -14,6 +15,8 @@
 @Command(name = "lab", mixinStandardHelpOptions = true,
     description = "Run a scenario against K real edge nodes in this process; write RUN.json and RUN.html.")
 final class LabCommand implements Callable<Integer> {
+  private static final int MOST_SHOWN = 20; // violations on the screen; the run file has all
+
   @Option(names = "--scenario", required = true, description = "scenario file (TOML, see docs/lab.md)")
   Path scenario;
 
@@ -30,23 +33,19 @@
       + "(not on the bench's platform, which allows no fork); needs target/saltlatch.jar")
   boolean processes;
 
+  @Option(names = "--jar", defaultValue = "target/saltlatch.jar", description = "the program that child processes run")
+  Path jar;
+
+  @Option(names = "--seed", defaultValue = "0", description = "another seed than the scenario's; 0 takes that")
+  long seed;
+
   @Override
   public Integer call() throws Exception {
-    Lab.Children children = null;
-    if (processes) {
-      String toml = Files.readString(Path.of("deploy/balancer.toml"));
-      java.util.regex.Matcher m =
-          java.util.regex.Pattern.compile("(?m)^run = \"exec java (.*?) -jar ").matcher(toml);
-      if (!m.find()) {
-        System.err.println("saltlatch lab: no run line in deploy/balancer.toml");
-        return 2;
-      }
-      children = new Lab.Children(java.util.List.of(m.group(1)
-          .replace("${TMPDIR:-/tmp}", System.getenv().getOrDefault("TMPDIR", "/tmp")).split(" ")),
-          Path.of("target/saltlatch.jar"),
-          Path.of(out + "-nodes"));
-    }
-    RunResult r = Lab.run(Scenario.read(scenario), nodes, children);
+    Processes.Program program =
+        processes ? Processes.Program.of(Path.of("deploy/balancer.toml"), jar, Path.of(out + "-nodes")) : null;
+    Scenario read = Scenario.read(scenario);
+    if (seed != 0) read = read.withSeed(seed);
+    RunResult r = Lab.run(read, nodes, program);
     Lab.write(r, Path.of(out + ".json"));
     RunResult base = baseline == null ? null : Lab.read(baseline);
     Files.writeString(Path.of(out + ".html"), Report.html(r, base));
@@ -55,6 +54,9 @@
     }
     System.out.println("outcomes " + r.outcomes() + ", latency us " + r.latencyUs() + ", sender late us "
         + r.senderLateUs());
+    System.out.println("units beyond plan " + r.truth().unitsBeyondPlan() + ", denied with room " + r.deniedWithRoom()
+        + ", recovery s " + r.recoveryS() + ", relays us " + r.relayDelayUs());
+    r.violations().stream().limit(MOST_SHOWN).forEach(System.out::println);
     return r.passed() ? 0 : 1;
   }
 }
--- a/src/main/java/saltlatch/history/History.java
+++ b/src/main/java/saltlatch/history/History.java
@@ -5,6 +5,7 @@
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.encoder.JsonEncoder;
 import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
 import ch.qos.logback.core.FileAppender;
 import java.nio.file.Path;
 import org.slf4j.spi.LoggingEventBuilder;
@@ -26,6 +27,7 @@
   public History(Path dir, String name, String incarnation) {
     this.name = name;
     this.incarnation = incarnation;
+    context.setMDCAdapter(new LogbackMDCAdapter()); // a context of one's own has none, and appends nothing without
     JsonEncoder json = new JsonEncoder();
     json.setContext(context);
     json.setWithSequenceNumber(false);
--- a/src/main/java/saltlatch/lab/emulator/AppServers.java
+++ b/src/main/java/saltlatch/lab/emulator/AppServers.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import saltlatch.history.History;
 import saltlatch.lab.plan.Box;
 import saltlatch.lab.plan.Truth;
 import saltlatch.lab.scenario.Scenario;
@@ -76,7 +77,10 @@
     }
   }
 
-  AppServers(Vertx vertx, LabClock clock, Truth truth, Scenario s) {
+  private final History history; // null: none is kept
+
+  AppServers(Vertx vertx, LabClock clock, Truth truth, Scenario s, History history) {
+    this.history = history;
     this.vertx = vertx;
     this.clock = clock;
     this.truth = truth;
@@ -182,6 +186,10 @@
     Server srv = c.server;
     Box.Turn turn = srv.box.take(now, srv.inProgress);
     if (turn.verdict() != Box.Verdict.BUSY) truth.mayHaveRun(id);
+    if (history != null) {
+      history.add("command", "id", id, "srv", "s-" + srv.box.index(), "submit", submit, "verdict", turn.verdict().name(),
+          "units", units, "customer", customer);
+    }
     switch (turn.verdict()) {
       case BUSY -> c.ready(slot, line("-BUSY"));
       case FAIL -> c.ready(slot, line("-ERR failed"));
@@ -191,6 +199,7 @@
         vertx.setTimer(Math.max(1, (long) Math.ceil(at - now)), t -> {
           srv.inProgress--;
           truth.served(id, (long) clock.nowMs());
+          if (history != null) history.add("served", "id", id, "units", units, "customer", customer);
           if (turn.verdict() == Box.Verdict.SPOIL) {
             spoilt++;
             c.ready(slot, line("+spoilt"));
--- a/src/main/java/saltlatch/lab/emulator/Emulator.java
+++ b/src/main/java/saltlatch/lab/emulator/Emulator.java
@@ -15,7 +15,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import saltlatch.history.History;
+import saltlatch.lab.plan.Links;
 import saltlatch.lab.plan.Truth;
+import saltlatch.lab.rig.Relays;
 import saltlatch.lab.scenario.Scenario;
 
 /**
@@ -30,17 +33,27 @@
   private final Truth truth = new Truth();
   private final AppServers servers;
   private final CounterStub counter;
+  private final Relays relays;
+  private final String historyDir; // null: nodes keep none
   private final PeerRelay relay;
   private DiscoveryStub discovery;
   private final List<Integer> nodePeerPorts = new ArrayList<>();
+  private final Map<String, Integer> vias = new java.util.concurrent.ConcurrentHashMap<>();
 
   public Emulator(Scenario s, LabClock clock) {
+    this(s, clock, new Links(s.links().faults(), s.seed()), null, null, null);
+  }
+
+  /** With relays for the links that faults touch, a history of the stand-ins, and a directory for the nodes'. */
+  public Emulator(Scenario s, LabClock clock, Links links, Relays relays, History history, String historyDir) {
+    this.relays = relays;
+    this.historyDir = historyDir;
     this.s = s;
     this.clock = clock;
     vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setPreferNativeTransport(true));
-    servers = new AppServers(vertx, clock, truth, s);
+    servers = new AppServers(vertx, clock, truth, s, history);
     counter = new CounterStub(vertx, clock, s.counter());
-    relay = new PeerRelay(vertx, s);
+    relay = new PeerRelay(vertx, s, links, clock);
   }
 
   /** Starts every stand-in on its own port; done when all listen. Runs on the emulator's loop. */
@@ -48,7 +61,13 @@
     for (int i = 0; i < s.nodes(); i++) nodePeerPorts.add(freeUdpPort());
     Promise<Void> done = Promise.promise();
     vertx.runOnContext(v -> servers.start().compose(x -> counter.start()).compose(x -> {
-      discovery = new DiscoveryStub(vertx, clock, s, servers.ports());
+      List<int[]> reach = new ArrayList<>();
+      for (int n = 0; n < s.nodes(); n++) {
+        int[] to = new int[servers.ports().size()];
+        for (int i = 0; i < to.length; i++) to[i] = via("n" + n, "s" + i, servers.ports().get(i));
+        reach.add(to);
+      }
+      discovery = new DiscoveryStub(vertx, clock, s, (node, i) -> reach.get(node)[i]);
       return discovery.start();
     }).compose(x -> relay.start(nodePeerPorts)).onComplete(done));
     return done.future();
@@ -60,10 +79,15 @@
    * non-replayable {@code write}, one plan {@code plan}).
    */
   public String nodeConfig(int i) {
+    return nodeConfig(i, false);
+  }
+
+  /** The same, or the older one, which has the scenario's old plan. */
+  public String nodeConfig(int i, boolean old) {
     JsonObject c = new JsonObject();
     c.addProperty("name", "n" + i);
     c.addProperty("listen", "127.0.0.1:0");
-    c.addProperty("discovery", "127.0.0.1:" + discovery.port());
+    c.addProperty("discovery", "127.0.0.1:" + via("n" + i, "discovery", discovery.port(i)));
     c.addProperty("seed", String.format("%016x", s.seed() * 1000 + i + 1));
     JsonObject limits = new JsonObject();
     limits.addProperty("cores", 1.0);
@@ -75,14 +99,19 @@
     for (int port : relay.peerPorts()) peers.add("127.0.0.1:" + port);
     c.add("peers", peers);
     c.addProperty("peers_all", "127.0.0.1:" + relay.allPort());
-    c.addProperty("counter", "127.0.0.1:" + counter.ports().get(i % counter.groups()));
-    c.add("known", discovery.known());
-    c.add("settings", settings(i));
+    c.addProperty("counter", "127.0.0.1:" + via("n" + i, "counter", counter.ports().get(i % counter.groups())));
+    c.add("known", discovery.known(i));
+    c.add("settings", settings(i, old ? s.oldPlan() : s.plan()));
+    if (historyDir != null) c.addProperty("history", historyDir);
     return c.toString();
   }
 
-  private JsonObject settings(int me) {
-    Scenario.Plan p = s.plan();
+  /** The port by which one reaches the other: a relay's where the link has faults, made once. */
+  private int via(String from, String to, int port) {
+    return relays == null ? port : vias.computeIfAbsent(from + ">" + to, k -> relays.port(from, to, port));
+  }
+
+  private JsonObject settings(int me, Scenario.Plan p) {
     String text = """
         {"azs":["a"],"machineTypes":["m"],"stages":["app"],"discovery":"automatic","family":"gate",
          "quantum":2.0,"clients":{"marksRetry":true},"report":{"fields":["utilization"],"how":"inline"},
--- a/src/main/java/saltlatch/lab/emulator/LabClock.java
+++ b/src/main/java/saltlatch/lab/emulator/LabClock.java
@@ -2,10 +2,26 @@
 
 /** The laboratory's one clock: ms since the run began, from the monotonic clock; epoch ms only for discovery's news. */
 public final class LabClock {
-  private final long startNanos = System.nanoTime();
-  private final long startEpochMs = System.currentTimeMillis();
+  private static final long AHEAD_NS = 3_600_000_000_000L; // before a run begins no fault's time has come
 
-  /** Milliseconds since the start, never backwards. */
+  private volatile long startNanos = System.nanoTime();
+  private volatile long startEpochMs = System.currentTimeMillis();
+
+  /** A clock that stands an hour before the run's beginning until {@link #begin()}: nodes may take their time to start. */
+  public static LabClock waiting() {
+    LabClock c = new LabClock();
+    c.startNanos += AHEAD_NS;
+    c.startEpochMs += AHEAD_NS / 1_000_000;
+    return c;
+  }
+
+  /** The run begins now: the load's first moment, from which the faults' times count. */
+  public void begin() {
+    startNanos = System.nanoTime();
+    startEpochMs = System.currentTimeMillis();
+  }
+
+  /** Milliseconds since the start, never backwards but for the beginning of a run. */
   public double nowMs() {
     return (System.nanoTime() - startNanos) / 1e6;
   }
@@ -19,4 +35,9 @@
   public long epochMs(double sinceStartMs) {
     return startEpochMs + (long) sinceStartMs;
   }
+
+  /** The same moment on the machine's monotonic clock, by which the processes' histories are compared. */
+  public long monoNs(double sinceStartMs) {
+    return startNanos + (long) (sinceStartMs * 1e6);
+  }
 }
--- a/src/main/java/saltlatch/lab/emulator/PeerRelay.java
+++ b/src/main/java/saltlatch/lab/emulator/PeerRelay.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import saltlatch.lab.plan.Links;
 import saltlatch.lab.scenario.Scenario;
 
 /**
@@ -29,7 +30,12 @@
   private long carried;
   private long lost;
 
-  PeerRelay(Vertx vertx, Scenario s) {
+  private final Links links;
+  private final LabClock clock;
+
+  PeerRelay(Vertx vertx, Scenario s, Links links, LabClock clock) {
+    this.links = links;
+    this.clock = clock;
     this.vertx = vertx;
     this.spec = s.peers();
     this.chance = new SplittableRandom(s.seed() ^ 0x9ee5L);
@@ -82,7 +88,13 @@
       lost++;
       return;
     }
-    long delay = spec.reorderMs() > 0 ? 1 + (long) (chance.nextDouble() * spec.reorderMs()) : 0;
+    double base = spec.reorderMs() > 0 ? 1 + chance.nextDouble() * spec.reorderMs() : 0;
+    List<Double> copies = links.datagram("n" + from, "n" + to, clock.nowMs());
+    if (copies.isEmpty()) lost++;
+    for (double extra : copies) send(from, to, data, (long) (base + extra));
+  }
+
+  private void send(int from, int to, Buffer data, long delay) {
     Runnable send = () -> {
       carried++;
       out.get(from).send(data, nodePorts.get(to), "127.0.0.1");
