A slow start is no absence since the beginning of time

Seen in reading (no run showed it): Pilot.ranAt began at 0, so a node whose first turn of the loop took over 0.7 s, as at a third of a core, would have taken itself for away since 1970 and asked TCP_INFO for every req from then on. It begins at the start now.

--- a/src/main/java/saltlatch/node/Pilot.java
+++ b/src/main/java/saltlatch/node/Pilot.java
@@ -79,6 +79,7 @@
 
   /** Starts the module on the list last known; the sockets of the client side open as they are needed. */
   void start(Gateway.Maker maker) {
+    ranAt = clock.now();
     appServers = new AppServers(vertx, this, this, counters, station.connectTime(), station.idleTime(),
         station.appSrvLinks());
     if (station.counter() != null) {
