--- a/src/main/java/saltlatch/lab/emulator/Emulator.java
+++ b/src/main/java/saltlatch/lab/emulator/Emulator.java
@@ -52,7 +52,7 @@
     this.clock = clock;
     vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setPreferNativeTransport(true));
     servers = new AppServers(vertx, clock, truth, s, history);
-    counter = new CounterStub(vertx, clock, s.counter());
+    counter = new CounterStub(vertx, clock, s.counter(), s.nodes());
     relay = new PeerRelay(vertx, s, links, clock);
   }
 
@@ -99,7 +99,7 @@
     for (int port : relay.peerPorts()) peers.add("127.0.0.1:" + port);
     c.add("peers", peers);
     c.addProperty("peers_all", "127.0.0.1:" + relay.allPort());
-    c.addProperty("counter", "127.0.0.1:" + via("n" + i, "counter", counter.ports().get(i % counter.groups())));
+    c.addProperty("counter", "127.0.0.1:" + via("n" + i, "counter", counter.ports().get(i)));
     c.add("known", discovery.known(i));
     c.add("settings", settings(i, old ? s.oldPlan() : s.plan()));
     if (historyDir != null) c.addProperty("history", historyDir);
