--- a/src/main/java/saltlatch/lab/report/Report.java
+++ b/src/main/java/saltlatch/lab/report/Report.java
@@ -36,6 +36,7 @@
           .append(": ").append(esc(c.name())).append(" (").append(esc(c.detail())).append(")</li>");
     }
     o.append("</ul>");
+    if (r.faults() != null && !r.faults().isEmpty()) o.append(timeLine(r));
     List<double[]> p99 = new ArrayList<>();
     List<double[]> pass = new ArrayList<>();
     List<double[]> deny = new ArrayList<>();
@@ -69,6 +70,51 @@
     return o.toString();
   }
 
+  /** What was done to which process and link, second by second, a row a node, with what broke under it. */
+  static String timeLine(RunResult r) {
+    int row = 18; // px of a node's row
+    int top = 20;
+    int height = top + row * r.nodes() + 24;
+    double perS = (W - PAD - 10) / Math.max(1, r.seconds());
+    StringBuilder o = new StringBuilder("<h2>Time line</h2><svg xmlns=\"http://www.w3.org/2000/svg\" width=\"")
+        .append(W).append("\" height=\"").append(height).append("\">");
+    for (int n = 0; n < r.nodes(); n++) {
+      o.append(String.format(Locale.ROOT, "<text x=\"4\" y=\"%d\" font-size=\"11\">n%d</text>"
+          + "<line x1=\"%d\" y1=\"%d\" x2=\"%d\" y2=\"%d\" stroke=\"#ddd\"/>", top + row * n + 13, n, PAD,
+          top + row * n + row, W - 10, top + row * n + row));
+    }
+    for (int s = 0; s <= r.seconds(); s += Math.max(1, (int) (r.seconds() / 12))) {
+      o.append(String.format(Locale.ROOT, "<text x=\"%.0f\" y=\"%d\" font-size=\"10\">%d s</text>", PAD + s * perS,
+          height - 8, s));
+    }
+    for (RunResult.Fault f : r.faults()) {
+      String colour = f.what().startsWith("kill") || f.what().startsWith("term") ? "#c33"
+          : f.what().startsWith("pause") ? "#c93" : "#69c";
+      for (String node : f.nodes()) {
+        int first = node.equals("all") ? 0 : Integer.parseInt(node.substring(1));
+        int rows = node.equals("all") ? r.nodes() : 1;
+        o.append(String.format(Locale.ROOT, "<rect x=\"%.1f\" y=\"%d\" width=\"%.1f\" height=\"%d\" fill=\"%s\""
+            + " fill-opacity=\"0.6\"><title>%s, %s s to %s s</title></rect>", PAD + f.fromS() * perS, top + row * first + 2,
+            Math.max(2, (f.untilS() - f.fromS()) * perS), row * rows - 4, colour, esc(f.what()), fmt(f.fromS()),
+            fmt(f.untilS())));
+      }
+    }
+    o.append("</svg><p>Red: killed or ended, until started again; ochre: stopped; blue: links and app servers.</p><ul>");
+    for (RunResult.Fault f : r.faults()) {
+      o.append("<li>").append(fmt(f.fromS())).append(" s to ").append(fmt(f.untilS())).append(" s: ").append(esc(f.what()))
+          .append(" ").append(esc(String.join(", ", f.nodes()))).append("</li>");
+    }
+    o.append("</ul><p>Survivors' passed share back at nine tenths after ").append(r.recoveryS() < 0 ? "the run's end"
+        : fmt(r.recoveryS()) + " s").append("; relays' own delay ").append(esc(String.valueOf(r.relayDelayUs())))
+        .append(" µs.</p>");
+    if (!r.violations().isEmpty()) {
+      o.append("<h3 class=\"bad\">What broke</h3><ul>");
+      for (String v : r.violations()) o.append("<li>").append(esc(v)).append("</li>");
+      o.append("</ul>");
+    }
+    return o.toString();
+  }
+
   /** The figures a run is compared by, in order. */
   public static Map<String, Double> figures(RunResult r) {
     Map<String, Double> m = new java.util.LinkedHashMap<>();
