Checked bounds and what each fault cost: units beyond a quota by fault interval

Change: [bounds] beyond_units adds WithinQuota to a run's properties; each fault in the run file and the report has the growth of the worst customer's standing beyond its quota from its start to 2 s after its end. ProcessesIT stops its node for 8 s, and brings the killed one back with the older plan. Tested with planted sums (CheckTest).

--- a/src/main/java/saltlatch/lab/check/Recovery.java
+++ b/src/main/java/saltlatch/lab/check/Recovery.java
@@ -17,6 +17,24 @@
 
   private Recovery() {}
 
+  /**
+   * By how many units the worst customer's standing beyond {@code burst + rate * t} (t from its first charge) grew between
+   * two moments over what it had been before; 0 if none grew.
+   */
+  public static double beyond(List<Line> history, double rate, double burst, long fromNs, long untilNs) {
+    Map<String, double[]> use = new HashMap<>(); // first ns, units, most beyond before, most beyond meanwhile
+    double worst = 0;
+    for (Line l : history) {
+      if (!l.kind().equals("served") || l.monoNs() > untilNs) continue;
+      double[] u = use.computeIfAbsent(l.get("customer"), k -> new double[] {l.monoNs(), 0, 0, 0});
+      u[1] += l.number("units");
+      int at = l.monoNs() < fromNs ? 2 : 3;
+      u[at] = Math.max(u[at], u[1] - burst - rate * (l.monoNs() - u[0]) / 1e9);
+      if (at == 3) worst = Math.max(worst, u[3] - u[2]);
+    }
+    return worst;
+  }
+
   /**
    * Seconds from {@code faultS} until the passed part of the tries sent to {@code nodes} is back at nine tenths of its mean
    * before the fault, for two seconds in a row; -1: not before {@code endS}; 0: it never fell.
--- a/src/main/java/saltlatch/lab/load/RunResult.java
+++ b/src/main/java/saltlatch/lab/load/RunResult.java
@@ -15,8 +15,11 @@
     Process process, List<Check> checks, List<Fault> faults, Map<String, Long> relayDelayUs, List<String> violations,
     double recoveryS) {
 
-  /** A fault of the schedule on a process or a link, for the time line: seconds since the load's start. */
-  public record Fault(String what, List<String> nodes, double fromS, double untilS) {}
+  /**
+   * A fault of the schedule on a process or a link, for the time line: seconds since the load's start, and the units by which
+   * the worst customer's standing beyond its quota grew from its start to two seconds after its end.
+   */
+  public record Fault(String what, List<String> nodes, double fromS, double untilS, double beyondUnits) {}
 
   /** The emulator's ledger summed. */
   public record Truth(long reqs, long dispatches, long served, long unitsCharged, long doubleCharges,
--- a/src/main/java/saltlatch/lab/report/Report.java
+++ b/src/main/java/saltlatch/lab/report/Report.java
@@ -102,7 +102,8 @@
     o.append("</svg><p>Red: killed or ended, until started again; ochre: stopped; blue: links and app servers.</p><ul>");
     for (RunResult.Fault f : r.faults()) {
       o.append("<li>").append(fmt(f.fromS())).append(" s to ").append(fmt(f.untilS())).append(" s: ").append(esc(f.what()))
-          .append(" ").append(esc(String.join(", ", f.nodes()))).append("</li>");
+          .append(" ").append(esc(String.join(", ", f.nodes()))).append("; the worst customer's units beyond its quota grew by ")
+          .append(fmt(f.beyondUnits())).append("</li>");
     }
     o.append("</ul><p>Survivors' passed share back at nine tenths after ").append(r.recoveryS() < 0 ? "the run's end"
         : fmt(r.recoveryS()) + " s").append("; relays' own delay ").append(esc(String.valueOf(r.relayDelayUs())))
--- a/src/main/java/saltlatch/lab/run/Lab.java
+++ b/src/main/java/saltlatch/lab/run/Lab.java
@@ -45,6 +45,7 @@
 public final class Lab {
   private static final Logger LOG = LoggerFactory.getLogger(Lab.class);
   private static final double SLACK_MS = 5_000; // a fault explains what ends so long after it: a start, a client timeout
+  private static final double AFTER_S = 2; // what a fault cost shows up to so long after its end
   private static final long START_S = 30; // a node must be ready in this, as on the platform
   private static final Gson GSON = new GsonBuilder().setPrettyPrinting().disableHtmlEscaping().create();
 
@@ -136,6 +137,9 @@
         for (Property.Violation v : found) violations.add(v.property() + ": " + v.what() + " "
             + v.proof().stream().map(Line::at).toList());
       }
+      if (dir != null) faults = faults.stream().map(f -> new RunResult.Fault(f.what(), f.nodes(), f.fromS(), f.untilS(),
+          Recovery.beyond(history, s.plan().rate(), s.plan().burst(), clock.monoNs(f.fromS() * 1000),
+              clock.monoNs((f.untilS() + AFTER_S) * 1000)))).toList();
       double recovery = faults.isEmpty() || dir == null ? 0 : Recovery.seconds(history, clock.monoNs(0),
           faults.get(0).fromS(), s.seconds(), survivors(s));
       return new RunResult(s.name(), s.json(), s.seed(), Offered.digest(schedule), s.seconds(), s.nodes(),
@@ -154,9 +158,13 @@
 
   /** The properties a run's history is checked for. */
   public static List<Property> properties(Scenario s) {
-    return List.of(new Properties.AnsweredOnce(), new Properties.Answered(),
+    List<Property> all = new ArrayList<>(List.of(new Properties.AnsweredOnce(), new Properties.Answered(),
         new Properties.LostOnlyByFaults(s.front().noticeS() * 1000 + SLACK_MS), new Properties.NotRepeated(),
-        new Properties.PassedRan());
+        new Properties.PassedRan()));
+    if (s.bounds().beyondUnits() > 0) {
+      all.add(new Properties.WithinQuota(s.plan().rate(), s.plan().burst(), s.bounds().beyondUnits()));
+    }
+    return all;
   }
 
   /** The schedule's faults on processes, links and app servers, and the nodes whose clients they may cost an answer. */
@@ -168,7 +176,7 @@
         double from = f.atS() + i * f.stepS();
         double lasts = f.kind().equals("pause") ? f.forS() > 0 ? f.forS() : s.seconds() : f.restart() ? f.backS() : 0;
         out.add(new RunResult.Fault(f.kind() + (f.restart() ? ", restart" : ""), List.of("n" + hit.get(i)), from,
-            from + lasts));
+            from + lasts, 0));
       }
     }
     for (Scenario.LinkFault f : s.links().faults()) {
@@ -177,12 +185,12 @@
         if (Group.of(f.from()).holds("n" + n) || Group.of(f.to()).holds("n" + n)) names.add("n" + n);
       }
       out.add(new RunResult.Fault(f.kind() + " " + f.from() + (f.oneWay() ? " > " : " - ") + f.to(), names, f.atS(),
-          f.forS() > 0 ? f.atS() + f.forS() : s.seconds()));
+          f.forS() > 0 ? f.atS() + f.forS() : s.seconds(), 0));
     }
     for (Scenario.Fault f : s.servers().faults()) {
       if (f.kind().equals("idle_close")) continue;
       out.add(new RunResult.Fault("app servers " + f.kind(), List.of("all"), f.atS(),
-          f.forS() > 0 ? f.atS() + f.forS() : s.seconds()));
+          f.forS() > 0 ? f.atS() + f.forS() : s.seconds(), 0));
     }
     out.sort(java.util.Comparator.comparingDouble(RunResult.Fault::fromS));
     return out;
--- a/src/main/java/saltlatch/lab/scenario/Scenario.java
+++ b/src/main/java/saltlatch/lab/scenario/Scenario.java
@@ -20,7 +20,11 @@
  * @param nodes edge nodes started by {@code lab}
  */
 public record Scenario(String name, long seed, double seconds, int nodes, Servers servers, Counter counter,
-    Discovery discovery, Peers peers, Load load, Plan plan, Plan oldPlan, Front front, Processes processes, Links links) {
+    Discovery discovery, Peers peers, Load load, Plan plan, Plan oldPlan, Front front, Processes processes, Links links,
+    Bounds bounds) {
+
+  /** Stated bounds that a run is checked against: units beyond its quota for any customer; 0: not checked. */
+  public record Bounds(double beyondUnits) {}
 
   /** A stand-in for the operators' front, which notices {@code notice_s} late that a node has died or hangs; 0: none. */
   public record Front(double noticeS) {}
@@ -54,13 +58,13 @@
   /** The same with another number of nodes. */
   public Scenario withNodes(int n) {
     return new Scenario(name, seed, seconds, n, servers, counter, discovery, peers, load, plan, oldPlan, front, processes,
-        links);
+        links, bounds);
   }
 
   /** The same with another seed. */
   public Scenario withSeed(long other) {
     return new Scenario(name, other, seconds, nodes, servers, counter, discovery, peers, load, plan, oldPlan, front,
-        processes, links);
+        processes, links, bounds);
   }
 
   /** The app servers: {@code count} of them, latency lognormal by median and 99th percentile. */
@@ -163,7 +167,8 @@
     Scenario out = new Scenario(name == null ? "unnamed" : name, seed, seconds > 0 ? seconds : 20, pos(nodes, 1), s, c,
         d, p, l, q, oldPlan == null ? q : oldPlan, front == null ? new Front(0) : front,
         new Processes(processes == null || processes.faults == null ? List.of() : List.copyOf(processes.faults)),
-        new Links(links == null || links.faults == null ? List.of() : List.copyOf(links.faults)));
+        new Links(links == null || links.faults == null ? List.of() : List.copyOf(links.faults)),
+        bounds == null ? new Bounds(0) : bounds);
     out.check();
     return out;
   }
--- a/src/test/java/saltlatch/lab/CheckTest.java
+++ b/src/test/java/saltlatch/lab/CheckTest.java
@@ -116,6 +116,19 @@
     finds(new Properties.WithinQuota(1, 2, 2.9), 1);
   }
 
+  /** What stood beyond the quota before the interval is not the interval's. */
+  @Test
+  void beyondGrowsWithinAnInterval() {
+    history.clear();
+    for (int s = 0; s < 6; s++) {
+      ms = s * 1000;
+      add("stand-ins", "served", "id", "x" + s, "units", s == 4 ? "9" : "3", "customer", "7");
+    }
+    // At 1 unit a second and a burst of 2 it stands 1, 3, 5, 7, 15, 17 beyond at seconds 0 to 5.
+    assertEquals(8, Recovery.beyond(history, 1, 2, 3_500_000_000L, 4_500_000_000L), 0.02);
+    assertEquals(0, Recovery.beyond(history, 1, 2, 5_500_000_000L, 9_000_000_000L), 0.02);
+  }
+
   @Test
   void recoveryIsTheFirstSteadySecond() {
     history.clear();
--- a/src/test/java/saltlatch/lab/ProcessesIT.java
+++ b/src/test/java/saltlatch/lab/ProcessesIT.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
@@ -63,16 +64,16 @@
   }
 
   /**
-   * Stopped for 6 s with reqs queued at its sockets, then continued: it knows for how long it was away, and sends out
+   * Stopped for 8 s with reqs queued at its sockets, then continued: it knows for how long it was away, and sends out
    * nothing whose client's time was over when it was read.
    */
   @Test
   void pausedNodeSendsOutNothingThatNobodyWaitsFor() throws Exception {
-    run("[[processes.faults]]\nkind = \"pause\"\nat_s = 3\nfor_s = 6\nnodes = \"n1\"\n");
+    run("[[processes.faults]]\nkind = \"pause\"\nat_s = 2\nfor_s = 8\nnodes = \"n1\"\n");
     List<Line> away = of("n1", "away");
     assertTrue(!away.isEmpty(), "n1 does not know that it was away");
     double longest = away.stream().mapToDouble(l -> l.number("for_ms")).max().orElse(0);
-    assertTrue(longest > 5_800 && longest < 7_500, "away for " + longest + " ms"); // 6 s, a round and a busy machine
+    assertTrue(longest > 7_800 && longest < 9_500, "away for " + longest + " ms"); // 8 s, a round and a busy machine
     Map<String, Line> late = new HashMap<>();
     for (Line l : of("n1", "arrived")) if (l.number("age_ms") >= l.number("wait_ms")) late.put(l.get("id"), l);
     // The front deals it a quarter of 60 reqs/s for the 2 s until it notices; half of those is far below that.
@@ -82,10 +83,12 @@
     }
   }
 
-  /** Killed, and back at once under the same name, while its old connections are still open elsewhere. */
+  /** Killed, and back at once under the same name with an older plan, while its old connections are open elsewhere. */
   @Test
   void killedAndBackAtOnce() throws Exception {
-    run("[[processes.faults]]\nkind = \"kill\"\nat_s = 4\nnodes = \"n2\"\nrestart = true\n");
+    run("[[processes.faults]]\nkind = \"kill\"\nat_s = 4\nnodes = \"n2\"\nrestart = true\nold_config = true\n"
+        + "[old_plan]\nrate = 19\nburst = 70\naim_ms = 1000\ndeadline_ms = 2000\n");
+    assertTrue(Files.readString(dir.resolve("n2.json")).contains("\"refill\":19.0"), "not the older configuration");
     List<Line> started = of("n2", "started");
     assertEquals(2, started.size());
     assertTrue(!started.get(0).incarnation().equals(started.get(1).incarnation()));
