--- a/src/main/java/saltlatch/lab/emulator/Emulator.java
+++ b/src/main/java/saltlatch/lab/emulator/Emulator.java
@@ -8,7 +8,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.util.ArrayList;
@@ -58,7 +57,11 @@
 
   /** Starts every stand-in on its own port; done when all listen. Runs on the emulator's loop. */
   public Future<Void> start() {
-    for (int i = 0; i < s.nodes(); i++) nodePeerPorts.add(freeUdpPort());
+    try {
+      for (int i = 0; i < s.nodes(); i++) nodePeerPorts.add(freeUdpPort());
+    } catch (IOException e) {
+      return Future.failedFuture(e);
+    }
     Promise<Void> done = Promise.promise();
     vertx.runOnContext(v -> servers.start().compose(x -> counter.start()).compose(x -> {
       List<int[]> reach = new ArrayList<>();
@@ -192,11 +195,9 @@
     return vertx.close();
   }
 
-  private static int freeUdpPort() {
+  private static int freeUdpPort() throws IOException {
     try (DatagramSocket d = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
       return d.getLocalPort();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
     }
   }
 }
--- a/src/main/java/saltlatch/lab/load/LoadRunner.java
+++ b/src/main/java/saltlatch/lab/load/LoadRunner.java
@@ -155,7 +155,7 @@
         if (r.failed()) return;
         socket = r.result();
         socket.handler(b -> {
-          if (b.toString().startsWith("+PONG")) front.pong(node, clock.nowMs());
+          if (b.toString().startsWith("+PONG")) front.pong(node, frontMs());
         });
         socket.closeHandler(v -> socket = null);
         ping();
@@ -163,6 +163,11 @@
     }
   }
 
+  /** The front's own clock, which the beginning of the run does not set. */
+  private static double frontMs() {
+    return System.nanoTime() / 1e6;
+  }
+
   /** Done once the front has taken every node in; at once where there is none. */
   public Future<Void> ready() {
     Promise<Void> in = Promise.promise();
@@ -172,7 +177,7 @@
       vertx.setPeriodic(PING_MS, t -> {
         for (Pinger p : pingers) p.ping();
         boolean all = true;
-        for (int i = 0; i < pingers.length; i++) all &= front.isIn(i, clock.nowMs());
+        for (int i = 0; i < pingers.length; i++) all &= front.isIn(i, frontMs());
         if (all) in.tryComplete();
       });
     });
@@ -236,7 +241,7 @@
   private int nodeFor(long customer) {
     int k = nodePorts.size();
     int first = (int) (customer % k);
-    if (front != null) return front.deal(first, k, clock.nowMs());
+    if (front != null) return front.deal(first, k, frontMs());
     return (first + turn[first]++ % k) % k;
   }
 
--- a/src/main/java/saltlatch/lab/rig/Processes.java
+++ b/src/main/java/saltlatch/lab/rig/Processes.java
@@ -5,7 +5,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
-import java.net.ServerSocket;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -55,6 +55,7 @@
   private final List<Process> processes = new ArrayList<>();
   private final List<Integer> ports = new ArrayList<>();
   private final Map<Integer, Boolean> stopped = new LinkedHashMap<>();
+  private final List<Socket> held = new ArrayList<>();
   private Thread director;
   private volatile boolean closed;
 
@@ -67,7 +68,7 @@
   public void start(int n) throws IOException, InterruptedException {
     Files.createDirectories(program.dir);
     for (int i = 0; i < n; i++) {
-      ports.add(freePort());
+      ports.add(hold());
       processes.add(launch(i, false));
     }
     long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MS);
@@ -79,6 +80,18 @@
     }
   }
 
+  /**
+   * A port that stays a node's for the whole run: bound here and never listened on, with the address' use shared. Guards
+   * against a connection going out that is given a node's port before its start, or while it is dead.
+   */
+  private int hold() throws IOException {
+    Socket s = new Socket();
+    s.setReuseAddress(true);
+    s.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    held.add(s);
+    return s.getLocalPort();
+  }
+
   public List<Integer> ports() {
     return ports;
   }
@@ -209,6 +222,17 @@
     }
   }
 
+  private void free() {
+    for (Socket s : held) {
+      try {
+        s.close();
+      } catch (IOException e) {
+        throw new java.io.UncheckedIOException(e);
+      }
+    }
+    held.clear();
+  }
+
   /** Ends what still runs, stopped ones too: SIGTERM, and SIGKILL for what does not end. Each by its id. */
   @Override
   public void close() throws InterruptedException {
@@ -221,11 +245,6 @@
     for (Process p : processes) {
       if (!p.waitFor(END_MS, TimeUnit.MILLISECONDS)) p.destroyForcibly().waitFor();
     }
-  }
-
-  static int freePort() throws IOException {
-    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return s.getLocalPort();
-    }
+    free();
   }
 }
