--- a/src/main/java/saltlatch/lab/check/Line.java
+++ b/src/main/java/saltlatch/lab/check/Line.java
@@ -29,7 +29,10 @@
     return text.isEmpty() ? 0 : Double.parseDouble(text);
   }
 
-  /** Every {@code *.jsonl} of a directory as one history in order of time. A torn last line, as SIGKILL leaves, is passed over. */
+  /**
+   * Every {@code *.jsonl} of a directory as one history in order of time. A torn last line, as SIGKILL leaves, is passed
+   * over.
+   */
   public static List<Line> readAll(Path dir) throws IOException {
     List<Line> all = new ArrayList<>();
     List<Path> files;
--- a/src/main/java/saltlatch/lab/emulator/CounterStub.java
+++ b/src/main/java/saltlatch/lab/emulator/CounterStub.java
@@ -21,7 +21,8 @@
  * A stand-in counter speaking the counter's lines: {@code bump NAME AMOUNT LIFE_MS} answered {@code ok TOTAL},
  * {@code busy} or {@code error}; {@code ping} answered {@code pong}. Answers in order of calls on a connection; at most
  * {@link #MOST_CONNECTIONS} connections a node, idle ones closed after {@link #IDLE_MS}. One listening address a node, by
- * which the stand-in tells them apart on loopback, and they fall into groups; the groups share one store until a {@code split} holds, when each side keeps its own and the
+ * which the stand-in tells them apart on loopback, and they fall into groups; the groups share one store until a
+ * {@code split} holds, when each side keeps its own and the
  * second side's writes are lost when it heals. Faults: {@code silent} (calls held and answered when it ends),
  * {@code slow} ({@code extra_ms} each), {@code refuse} (new connections closed, calls answered {@code busy}),
  * {@code empty} (all totals forgotten at {@code at_s}). With {@code calls_per_second} calls are served in turn, and turned
--- a/src/main/java/saltlatch/lab/rig/Processes.java
+++ b/src/main/java/saltlatch/lab/rig/Processes.java
@@ -235,15 +235,20 @@
 
   /** Ends what still runs, stopped ones too: SIGTERM, and SIGKILL for what does not end. Each by its id. */
   @Override
-  public void close() throws InterruptedException {
+  public void close() {
     closed = true;
     if (director != null) director.interrupt();
     for (int i = 0; i < processes.size(); i++) {
       if (stopped.containsKey(i)) processes.get(i).destroyForcibly();
       else processes.get(i).destroy();
     }
-    for (Process p : processes) {
-      if (!p.waitFor(END_MS, TimeUnit.MILLISECONDS)) p.destroyForcibly().waitFor();
+    try {
+      for (Process p : processes) {
+        if (!p.waitFor(END_MS, TimeUnit.MILLISECONDS)) p.destroyForcibly().waitFor();
+      }
+    } catch (InterruptedException e) {
+      processes.forEach(Process::destroyForcibly);
+      Thread.currentThread().interrupt();
     }
     free();
   }
--- a/src/test/java/saltlatch/lab/RigTest.java
+++ b/src/test/java/saltlatch/lab/RigTest.java
@@ -143,7 +143,8 @@
     double cutAt = clock.nowMs() / 1000 + 0.3;
     Links links = new Links(List.of(link("cut", cutAt, 0.8, "counter", "n0", true, 0, 0, 0),
         link("delay", 0, 0, "n1", "counter", false, 0, 1, 0)), 1);
-    try (Relays relays = new Relays(links, clock); ServerSocket target = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+    try (Relays relays = new Relays(links, clock);
+        ServerSocket target = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
       int port = target.getLocalPort();
       try (Socket s = new Socket(InetAddress.getLoopbackAddress(), relays.port("n0", "counter", port));
           Socket t = target.accept()) {
