--- a/src/main/java/saltlatch/lab/rig/Processes.java
+++ b/src/main/java/saltlatch/lab/rig/Processes.java
@@ -67,6 +67,8 @@
   /** Starts {@code n} nodes at once and waits until each answers PING. */
   public void start(int n) throws IOException, InterruptedException {
     Files.createDirectories(program.dir);
+    // Guards against nodes that outlive a lab that was ended from outside: they would keep ports and cores.
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> List.copyOf(processes).forEach(Process::destroyForcibly)));
     for (int i = 0; i < n; i++) {
       ports.add(hold());
       processes.add(launch(i, false));
