Read over: INFO is parsed in one place, link faults are built where used, dead catch out

Written twice were: the parsing of INFO (Processes beside Lab.parse, which is gone), when a fault holds (Scenario.Fault and LinkFault) and when one ends (Lab.faults). A relay's directions were handed the pipe that they hold; Emulator was handed Links that its scenario gives; MemberForm caught an underflow that its length check rules out; the stopped nodes were a map of trues, shared by two threads.

--- a/src/main/java/saltlatch/lab/emulator/Emulator.java
+++ b/src/main/java/saltlatch/lab/emulator/Emulator.java
@@ -15,7 +15,6 @@
 import java.util.List;
 import java.util.Map;
 import saltlatch.history.History;
-import saltlatch.lab.plan.Links;
 import saltlatch.lab.plan.Truth;
 import saltlatch.lab.rig.Relays;
 import saltlatch.lab.scenario.Scenario;
@@ -40,11 +39,11 @@
   private final Map<String, Integer> vias = new java.util.concurrent.ConcurrentHashMap<>();
 
   public Emulator(Scenario s, LabClock clock) {
-    this(s, clock, new Links(s.links().faults(), s.seed()), null, null, null);
+    this(s, clock, null, null, null);
   }
 
   /** With relays for the links that faults touch, a history of the stand-ins, and a directory for the nodes'. */
-  public Emulator(Scenario s, LabClock clock, Links links, Relays relays, History history, String historyDir) {
+  public Emulator(Scenario s, LabClock clock, Relays relays, History history, String historyDir) {
     this.relays = relays;
     this.historyDir = historyDir;
     this.s = s;
@@ -52,7 +51,7 @@
     vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setPreferNativeTransport(true));
     servers = new AppServers(vertx, clock, truth, s, history);
     counter = new CounterStub(vertx, clock, s.counter(), s.nodes());
-    relay = new PeerRelay(vertx, s, links, clock);
+    relay = new PeerRelay(vertx, s, clock);
   }
 
   /** Starts every stand-in on its own port; done when all listen. Runs on the emulator's loop. */
--- a/src/main/java/saltlatch/lab/emulator/PeerRelay.java
+++ b/src/main/java/saltlatch/lab/emulator/PeerRelay.java
@@ -33,8 +33,8 @@
   private final Links links;
   private final LabClock clock;
 
-  PeerRelay(Vertx vertx, Scenario s, Links links, LabClock clock) {
-    this.links = links;
+  PeerRelay(Vertx vertx, Scenario s, LabClock clock) {
+    this.links = new Links(s.links().faults(), s.seed());
     this.clock = clock;
     this.vertx = vertx;
     this.spec = s.peers();
--- a/src/main/java/saltlatch/lab/rig/Processes.java
+++ b/src/main/java/saltlatch/lab/rig/Processes.java
@@ -14,6 +14,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.regex.Matcher;
@@ -54,7 +56,7 @@
   private final BiFunction<Integer, Boolean, String> configs; // by number, and whether it is the older one
   private final List<Process> processes = new ArrayList<>();
   private final List<Integer> ports = new ArrayList<>();
-  private final Map<Integer, Boolean> stopped = new LinkedHashMap<>();
+  private final Set<Integer> stopped = ConcurrentHashMap.newKeySet();
   private final List<Socket> held = new ArrayList<>();
   private Thread director;
   private volatile boolean closed;
@@ -146,7 +148,7 @@
         case TERM -> signal("-TERM", nodes);
         case STOP -> {
           signal("-STOP", nodes);
-          nodes.forEach(n -> stopped.put(n, true));
+          stopped.addAll(nodes);
         }
         case CONT -> {
           signal("-CONT", nodes);
@@ -180,15 +182,10 @@
   /** The node's INFO counters, with its CPU ms and resident KB from /proc; empty for one that is gone or hangs. */
   public Map<String, Long> figures(int i) {
     Map<String, Long> m = new LinkedHashMap<>();
-    if (!alive(i) || stopped.containsKey(i)) return m;
+    if (!alive(i) || stopped.contains(i)) return m;
     try {
       if (ask(i, "*1\r\n$4\r\nINFO\r\n") instanceof Resp.Bulk info) {
-        for (String line : info.text().split("\n")) {
-          int eq = line.indexOf('=');
-          if (eq > 0 && line.substring(eq + 1).trim().matches("-?\\d+")) {
-            m.put(line.substring(0, eq), Long.parseLong(line.substring(eq + 1).trim()));
-          }
-        }
+        m.putAll(counters(info.text()));
       }
       long pid = processes.get(i).pid();
       String[] stat = Files.readString(Path.of("/proc/" + pid + "/stat")).split(" ");
@@ -202,6 +199,16 @@
     return m;
   }
 
+  /** The counters of {@code INFO}, a {@code name=value} line each. */
+  public static Map<String, Long> counters(String info) {
+    Map<String, Long> m = new LinkedHashMap<>();
+    for (String line : info.split("\n")) {
+      int eq = line.indexOf('=');
+      if (eq > 0) m.put(line.substring(0, eq), Long.parseLong(line.substring(eq + 1).trim()));
+    }
+    return m;
+  }
+
   /** What the node answers; null if it ends the connection before. */
   private Resp ask(int i, String command) throws IOException {
     try (Socket s = new Socket(InetAddress.getLoopbackAddress(), ports.get(i))) {
@@ -241,7 +248,7 @@
     closed = true;
     if (director != null) director.interrupt();
     for (int i = 0; i < processes.size(); i++) {
-      if (stopped.containsKey(i)) processes.get(i).destroyForcibly();
+      if (stopped.contains(i)) processes.get(i).destroyForcibly();
       else processes.get(i).destroy();
     }
     try {
--- a/src/main/java/saltlatch/lab/rig/Relays.java
+++ b/src/main/java/saltlatch/lab/rig/Relays.java
@@ -153,7 +153,7 @@
       this.dst = dst;
     }
 
-    void read(Pipe p) {
+    void read() {
       double now = clock.nowMs();
       long readNs = System.nanoTime();
       try {
@@ -171,17 +171,17 @@
         ended = true;
         held.add(new Chunk(null, Math.max(lastDue, now), readNs, false, true));
       }
-      write(p);
+      write();
     }
 
     /** Passes on what is due, unless the link is cut. */
-    void write(Pipe p) {
+    void write() {
       double now = clock.nowMs();
       try {
         while (!held.isEmpty() && dst.isConnected() && held.peek().dueMs <= now && !links.cut(from, to, now)) {
           Chunk c = held.peek();
           if (c.reset) {
-            p.reset();
+            pipe.reset();
             return;
           }
           if (c.bytes == null) {
@@ -196,19 +196,19 @@
           held.poll();
         }
       } catch (IOException e) {
-        p.reset();
+        pipe.reset();
         return;
       }
       if (done && other.done) {
         shut(src);
         shut(dst);
-        pipes.remove(p);
+        pipes.remove(pipe);
         return;
       }
-      interest(p);
+      interest();
     }
 
-    private void interest(Pipe p) {
+    private void interest() {
       SelectionKey in = src.keyFor(selector);
       if (in == null || !in.isValid() || !src.isConnected()) return;
       boolean blocked = !other.held.isEmpty() && other.held.peek().bytes != null
@@ -281,8 +281,8 @@
         double now = clock.nowMs();
         for (Listener l : listeners) l.look(now);
         for (Pipe p : List.copyOf(pipes)) {
-          if (!p.there.held.isEmpty()) p.there.write(p);
-          if (!p.back.held.isEmpty()) p.back.write(p);
+          if (!p.there.held.isEmpty()) p.there.write();
+          if (!p.back.held.isEmpty()) p.back.write();
         }
       } catch (IOException | RuntimeException e) {
         if (closed) return;
@@ -308,12 +308,12 @@
         p.reset(); // nobody listens there
         return;
       }
-      h.interest(p);
-      h.other.interest(p);
+      h.interest();
+      h.other.interest();
       return;
     }
-    if (key.isReadable()) h.read(p);
-    if (key.isValid() && key.isWritable()) h.other.write(p);
+    if (key.isReadable()) h.read();
+    if (key.isValid() && key.isWritable()) h.other.write();
   }
 
   private static void shut(SocketChannel c) {
--- a/src/main/java/saltlatch/lab/run/Lab.java
+++ b/src/main/java/saltlatch/lab/run/Lab.java
@@ -8,7 +8,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -78,7 +77,7 @@
     History clients = dir == null ? null : new History(dir, "clients", "1");
     History director = dir == null ? null : new History(dir, "director", "1");
     Relays relays = s.links().faults().isEmpty() ? null : new Relays(new Links(s.links().faults(), s.seed()), clock);
-    Emulator emulator = new Emulator(s, clock, new Links(s.links().faults(), s.seed()), relays, standIns,
+    Emulator emulator = new Emulator(s, clock, relays, standIns,
         dir == null ? null : dir.toAbsolutePath().toString());
     Processes processes = program == null ? null : new Processes(program, emulator::nodeConfig);
     emulator.start().toCompletionStage().toCompletableFuture().get(START_S, TimeUnit.SECONDS);
@@ -185,17 +184,22 @@
         if (Group.of(f.from()).holds("n" + n) || Group.of(f.to()).holds("n" + n)) names.add("n" + n);
       }
       out.add(new RunResult.Fault(f.kind() + " " + f.from() + (f.oneWay() ? " > " : " - ") + f.to(), names, f.atS(),
-          f.forS() > 0 ? f.atS() + f.forS() : s.seconds(), 0));
+          end(f.atS(), f.forS(), s), 0));
     }
     for (Scenario.Fault f : s.servers().faults()) {
       if (f.kind().equals("idle_close")) continue;
       out.add(new RunResult.Fault("app servers " + f.kind(), List.of("all"), f.atS(),
-          f.forS() > 0 ? f.atS() + f.forS() : s.seconds(), 0));
+          end(f.atS(), f.forS(), s), 0));
     }
     out.sort(java.util.Comparator.comparingDouble(RunResult.Fault::fromS));
     return out;
   }
 
+  /** When a fault on links or app servers ends: with the run where it has no length of its own. */
+  private static double end(double atS, double forS, Scenario s) {
+    return forS > 0 ? atS + forS : s.seconds();
+  }
+
   /** The nodes that no fault on processes ends or stops. */
   private static Set<String> survivors(Scenario s) {
     Set<String> out = new java.util.TreeSet<>();
@@ -241,7 +245,7 @@
 
       @Override
       public Map<String, Long> figures() throws Exception {
-        Map<String, Long> m = parse(e.figures().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS));
+        Map<String, Long> m = Processes.counters(e.figures().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS));
         m.put("loop_cpu_ms", e.loopCpuNanos().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS)
             / 1_000_000);
         return m;
@@ -307,15 +311,6 @@
     return out;
   }
 
-  static Map<String, Long> parse(String figures) {
-    Map<String, Long> m = new LinkedHashMap<>();
-    for (String line : figures.split("\n")) {
-      int eq = line.indexOf('=');
-      if (eq > 0) m.put(line.substring(0, eq), Long.parseLong(line.substring(eq + 1).trim()));
-    }
-    return m;
-  }
-
   private static double rssMb() {
     try {
       for (String line : Files.readAllLines(Path.of("/proc/self/status"))) {
--- a/src/main/java/saltlatch/lab/scenario/Scenario.java
+++ b/src/main/java/saltlatch/lab/scenario/Scenario.java
@@ -51,10 +51,15 @@
   public record LinkFault(String kind, double atS, double forS, String from, String to, boolean oneWay, double share,
       double extraMs, double periodMs) {
     public boolean holds(double ms) {
-      return ms >= atS * 1000 && (forS <= 0 || ms < (atS + forS) * 1000);
+      return within(atS, forS, ms);
     }
   }
 
+  /** Whether a fault of that beginning and length (0 or less: to the end) holds at {@code ms}. */
+  private static boolean within(double atS, double forS, double ms) {
+    return ms >= atS * 1000 && (forS <= 0 || ms < (atS + forS) * 1000);
+  }
+
   /** The same with another number of nodes. */
   public Scenario withNodes(int n) {
     return new Scenario(name, seed, seconds, n, servers, counter, discovery, peers, load, plan, oldPlan, front, processes,
@@ -110,7 +115,7 @@
       double rampS, double from, int groups) {
     /** True while the fault holds at {@code ms} since the start. */
     public boolean holds(double ms) {
-      return ms >= atS * 1000 && (forS <= 0 || ms < (atS + forS) * 1000);
+      return within(atS, forS, ms);
     }
 
     /** True while any of the {@code faults} of this kind holds at {@code ms} since the start. */
--- a/src/main/java/saltlatch/wire/MemberForm.java
+++ b/src/main/java/saltlatch/wire/MemberForm.java
@@ -1,6 +1,5 @@
 package saltlatch.wire;
 
-import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
@@ -45,26 +44,22 @@
     int told = b.getInt(3);
     b.putInt(3, 0);
     if (told != sum(b.array())) return null;
-    try {
-      int kind = b.get(2);
-      b.position(7);
-      int seq = b.getInt();
-      int target = b.getShort() & 0xffff;
-      long incarnation = b.getInt() & 0xffffffffL;
-      long digest = b.getLong();
-      int n = b.get() & 0xff;
-      if (kind < 0 || kind >= KINDS.length || b.remaining() != n * NEWS) return null;
-      List<News> news = new ArrayList<>();
-      for (int i = 0; i < n; i++) {
-        int member = b.getShort() & 0xffff;
-        int state = b.get();
-        if (state < 0 || state >= STATES.length) return null;
-        news.add(new News(member, STATES[state], b.getInt() & 0xffffffffL, b.getShort() & 0xffff));
-      }
-      return new Message(KINDS[kind], seq, target, incarnation, digest, news);
-    } catch (BufferUnderflowException e) {
-      return null;
+    int kind = b.get(2);
+    b.position(7);
+    int seq = b.getInt();
+    int target = b.getShort() & 0xffff;
+    long incarnation = b.getInt() & 0xffffffffL;
+    long digest = b.getLong();
+    int n = b.get() & 0xff;
+    if (kind < 0 || kind >= KINDS.length || b.remaining() != n * NEWS) return null;
+    List<News> news = new ArrayList<>();
+    for (int i = 0; i < n; i++) {
+      int member = b.getShort() & 0xffff;
+      int state = b.get();
+      if (state < 0 || state >= STATES.length) return null;
+      news.add(new News(member, STATES[state], b.getInt() & 0xffffffffL, b.getShort() & 0xffff));
     }
+    return new Message(KINDS[kind], seq, target, incarnation, digest, news);
   }
 
   private static int sum(byte[] bytes) {
