Peers cut in a jam: those overdue are taken to pass what this node does

Ruled out: the leases (no node took over anything). Change: a peer of the set whose next word is overdue is taken to pass as much as this node does meanwhile; that leaves the room when shares begin, and comes back when the peer tells. A word that can't vouch (a process that has just begun) no longer ends an earlier one; an absence costs a third of the pace, not a ninth, for two answers.

--- a/src/main/java/saltlatch/Quotas.java
+++ b/src/main/java/saltlatch/Quotas.java
@@ -24,6 +24,7 @@
   static final double OTHERS_TIME = 50_000; // 5 s: over this the rate of what other nodes pass is taken
   static final double MOST_TOLD = 8; // bursts: a peer that tells of more in one window is wrong
   static final double NOUGHT = 0.01; // units: totals come to seven digits
+  static final double LATE = 1.2; // periods without a word after which a peer may be cut off: its next is overdue
   static final double COUNTED = 0.05; // step of the part of charges counted before the turn: 20 windows
 
   /** One customer's count for one window; lives for the window and the longest client timeout. */
@@ -58,6 +59,8 @@
     double held; // part of the quota that the room stands for while alone
     double scale = 1; // the same while peers are heard: the part of those that hear each other
     double apart; // units they passed while that was below 1
+    double meanwhile; // units this node passed while some peer was overdue
+    double presumed; // units those peers are taken to have passed meanwhile, until they say
     long totalAt = Gossip.NEVER; // of the last total
     boolean spent; // a window's count reached the limit and the quota has not filled again since
     double store; // this node's part of the hard ceiling
@@ -130,7 +133,10 @@
   /** The share ends: others' use on shares shows in totals as far as counted in time; the rest is charged. */
   private void rejoin(Customer c) {
     fill(c);
-    if (c.alone >= 0) c.room = (c.room + c.alone * counted) / c.held - c.alone * counted;
+    if (c.alone >= 0) {
+      c.room = (c.room + c.alone * counted) / c.held - c.alone * counted + c.presumed;
+      c.presumed = 0;
+    }
     c.alone = -1;
   }
 
@@ -179,6 +185,7 @@
     w.passed += units;
     c.room -= units;
     c.apart += units;
+    c.meanwhile += units;
     c.part -= units;
     gossip.passed(w.name, c.id, w.turn / length(c.plan) - 1, c.first, c.width, w.passed);
   }
@@ -241,23 +248,38 @@
    */
   private void rescale(Customer c) {
     if (c.alone >= 0) {
-      double own = shares.own(now, c.first, c.width);
+      double own = Math.max(NOUGHT, shares.own(now, c.first, c.width));
       if (own < c.held && c.room > 0) c.room *= own / c.held;
       c.held = own; // more than before: what the others have left of the room is not known, its refill is
       return;
     }
     boolean told = gossip.isHeard(now, c.width) && now - c.totalAt > gossip.within();
-    double to = told ? shares.pooled(now, gossip.within(), c.first, c.width) : 1;
+    double to = told ? Math.max(NOUGHT, shares.pooled(now, gossip.within(), c.first, c.width)) : 1;
     if (to == c.scale) return;
     if (c.scale < 1) { // as if all had passed alike; what the others did pass is charged when it shows
-      double whole = c.scale > 0 ? (c.room + c.apart) / c.scale - c.apart : c.room;
+      double whole = (c.room + c.apart) / c.scale - c.apart + c.presumed;
       c.room = Math.min(c.plan.burst(), Math.max(-DEBT * c.plan.burst(), whole));
+      c.presumed = 0;
     }
     c.apart = 0;
-    if (c.room > 0) c.room *= to;
+    if (to < 1) presume(c);
+    c.room *= to;
     c.scale = to;
   }
 
+  /** Peers are not heard any more: each is taken to have passed meanwhile what this node did. */
+  private void presume(Customer c) {
+    double units = silent(c) * c.meanwhile;
+    c.meanwhile = 0;
+    c.presumed += units;
+    c.room -= units;
+  }
+
+  /** Peers of the customer's set who told lately, but whose next word is overdue. */
+  private int silent(Customer c) {
+    return shares.silent(now, (long) (LATE * gossip.period()), 2 * gossip.within(), c.first, c.width);
+  }
+
   private double fading(double sum, long at) { return sum * Math.exp((at - now) / OTHERS_TIME); }
 
   /** Without an answer a customer has this node's learned share of its quota, while any of it is left. */
@@ -271,18 +293,30 @@
       c.part = Math.max(-c.plan.burst(), filled(c.part, c.partAt, share, c.plan.burst() * c.share));
       c.partAt = now;
       double rate = fading(c.othersUse, c.othersAt) / OTHERS_TIME;
-      double unheard = rate * gossip.period();
+      double unheard = Math.max(rate * gossip.period(), unsaid(c, rate));
       return c.room >= units + unheard || c.room > 0 && c.part > 0;
     }
     fill(c);
     if (c.alone < 0) {
       c.alone = 0;
-      c.held = shares == null ? c.share : shares.own(now, c.first, c.width);
+      c.held = shares == null ? c.share : Math.max(NOUGHT, shares.own(now, c.first, c.width));
+      if (shares != null) presume(c);
       c.room *= c.held;
     }
     return c.room > 0;
   }
 
+  /**
+   * What those may have passed of whom no word came for over a period: they may be cut off, with the same room
+   * before their eyes. They are taken to pass what they did, or as much each as this node does meanwhile.
+   */
+  private double unsaid(Customer c, double rate) {
+    if (shares == null) return 0;
+    int silent = silent(c);
+    if (silent == 0) c.meanwhile = 0;
+    return silent == 0 ? 0 : Math.max(rate * LATE * gossip.period(), silent * c.meanwhile);
+  }
+
   /** This node's part of the hard ceiling, from local knowledge: rate and amount over its nodes. */
   boolean ceilingAllows(Customer c, double units) {
     if (c.plan.ceilingRate() <= 0) return true;
--- a/src/main/java/saltlatch/member/Leases.java
+++ b/src/main/java/saltlatch/member/Leases.java
@@ -32,7 +32,7 @@
 
   /** {@code vouches}: it has not held this node failed or left for a lease; {@code same}: its view is this node's. */
   void answered(long now, int by, long sentAt, boolean vouches, boolean same) {
-    heldUntil[by] = vouches ? Math.max(heldUntil[by], sentAt + terms.lease()) : 0;
+    if (vouches) heldUntil[by] = Math.max(heldUntil[by], sentAt + terms.lease());
     if (!same) {
       sameSince[by] = NEVER;
       return;
--- a/src/main/java/saltlatch/member/Membership.java
+++ b/src/main/java/saltlatch/member/Membership.java
@@ -218,7 +218,7 @@
   private void back(long now) {
     probe = null;
     relays.clear();
-    health = Terms.HEALTH_MOST;
+    health = Math.max(health, Terms.HEALTH_BACK);
     nextPeriod = now;
     for (Peer p : peers) {
       if (p.state != State.SUSPECT) continue;
@@ -418,7 +418,10 @@
   private List<News> news(int to) {
     List<News> all = new ArrayList<>();
     if (peers[to].state == State.SUSPECT || peers[to].state == State.FAILED) all.add(of(to));
-    fresh.sort(Comparator.comparingInt((Integer i) -> -peers[i].sends).thenComparing(i -> i));
+    // Of news sent as often each node begins elsewhere: all would send the same of a fleet that starts at once.
+    int from = fresh.size() > MOST_NEWS ? chance.nextInt(peers.length) : 0;
+    fresh.sort(Comparator.comparingInt((Integer i) -> -peers[i].sends)
+        .thenComparing(i -> (i + from) % peers.length));
     for (int i = 0; i < fresh.size() && all.size() < MOST_NEWS; i++) {
       int member = fresh.get(i);
       peers[member].sends--;
--- a/src/main/java/saltlatch/member/Shares.java
+++ b/src/main/java/saltlatch/member/Shares.java
@@ -115,6 +115,17 @@
     return Math.min(1, sum);
   }
 
+  /** Members of the set that still count as heard, but whose last word is older than {@code late}. */
+  public int silent(long now, long late, long within, int first, int width) {
+    int silent = 0;
+    for (int i = 0; i < Math.min(width, nodes); i++) {
+      int member = (first + i) % nodes;
+      long since = now - heardAt[member];
+      silent += member != me && heardAt[member] > 0 && since > late && since <= within ? 1 : 0;
+    }
+    return silent;
+  }
+
   private boolean same(BitSet a, BitSet b, int first, int width) {
     for (int i = 0; i < Math.min(width, nodes); i++) {
       int member = (first + i) % nodes;
--- a/src/main/java/saltlatch/member/Terms.java
+++ b/src/main/java/saltlatch/member/Terms.java
@@ -13,6 +13,7 @@
   static final double DIRECT = 0.4; // part of the period that a direct answer is waited for
   static final double RELAYED = 0.7; // part of the period after which one asked for help says that it has no answer
   static final int HEALTH_MOST = 8; // the local health multiplier's bound, as Lifeguard's evaluation has it
+  static final int HEALTH_BACK = 2; // after an absence: it asks at a third of its pace until two have answered
   static final double SUSPECT_LEAST = 4; // periods, times log10 of the fleet: time to hear a refutation
   static final double SUSPECT_MOST = 6; // times the least: a suspicion that nobody else confirms waits so long
   static final int CONFIRMED = 3; // others' suspicions that bring the time down to the least
--- a/src/main/java/saltlatch/node/Roster.java
+++ b/src/main/java/saltlatch/node/Roster.java
@@ -27,6 +27,7 @@
   private final Membership membership;
   private Event.Members told;
   private Standing standing;
+  private String share = "";
 
   Roster(Desk desk, Peers peers, History history, Station station, Consumer<Event> module) {
     this.desk = desk;
@@ -66,6 +67,8 @@
     Event.Members now = membership.members();
     if (!now.equals(told)) module.accept(now);
     told = now;
+    shareChanged(desk.now() < now.takesUntil() && now.lives().contains(Event.Life.GONE) ? "more"
+        : desk.now() < now.holdsUntil() ? "whole" : "floor");
     Standing is = membership.standing();
     if (is == standing) return;
     standing = is;
@@ -76,10 +79,19 @@
     }
   }
 
+  /** What of an even share may be used without the counter: the floor, all of it, or more. */
+  private void shareChanged(String to) {
+    if (to.equals(share)) return;
+    share = to;
+    LOG.info("share {}", to);
+    if (history != null) history.add("share", "is", to);
+  }
+
   /** Lines for INFO; times in ms. */
   String figures(long heardWithin) {
     long now = desk.now();
     return "members_standing=" + standing.name().toLowerCase(Locale.ROOT)
+        + "\nmembers_share=" + share
         + "\nmembers_live=" + membership.live()
         + "\nmembers_failed=" + membership.count(Message.State.FAILED)
         + "\nmembers_left=" + membership.count(Message.State.LEFT)
--- a/src/test/java/saltlatch/member/MembershipMeasure.java
+++ b/src/test/java/saltlatch/member/MembershipMeasure.java
@@ -41,6 +41,18 @@
     }
   }
 
+  /** A thousand that start at once, knowing nobody, all know each other. */
+  @Test
+  void allStartAtOnce() {
+    for (int n : new int[] {100, 300, 1000}) {
+      Fleet f = new Fleet(n, 3);
+      f.loss = 0.1;
+      long took = f.until(f::agree, 3 * f.terms.equalWithin());
+      System.out.printf(Locale.ROOT, "MEASURED %d members from nothing: %.1f s, T3 %.1f s%n", n,
+          (double) took / Fleet.SECOND, (double) f.terms.equalWithin() / Fleet.SECOND);
+    }
+  }
+
   @Test
   void falseVerdicts() {
     for (double loss : new double[] {0.1, 0.3}) {
