--- a/src/main/java/saltlatch/lab/check/Properties.java
+++ b/src/main/java/saltlatch/lab/check/Properties.java
@@ -197,4 +197,42 @@
       return out;
     }
   }
+
+  /**
+   * The parts of one quota that all processes together may use without the counter sum to no more than one, by what each
+   * told last of its share and its own leases. A stopped process uses nothing; on waking its leases have run out by its clock.
+   */
+  public static final class SharesWithinQuota implements Property {
+    private static final double ROUNDING = 1e-6;
+
+    @Override
+    public String name() {
+      return "shares in use sum to no more than the quota";
+    }
+
+    @Override
+    public List<Violation> check(List<Line> history) {
+      Map<String, Line> last = new TreeMap<>();
+      List<Violation> out = new ArrayList<>();
+      for (Line l : history) {
+        if (l.kind().equals("started") || l.kind().equals("ends")) last.remove(l.name());
+        if (l.kind().equals("fault") && l.get("kind").equals("kill")) last.remove(l.get("node"));
+        if (!l.kind().equals("share")) continue;
+        last.put(l.name(), l);
+        double sum = 0;
+        for (Line s : last.values()) sum += part(s, (l.monoNs() - s.monoNs()) / 1e6);
+        if (sum > 1 + ROUNDING) {
+          out.add(new Violation(name(), String.format(java.util.Locale.ROOT, "%.3f quotas in use", sum),
+              List.copyOf(last.values())));
+        }
+      }
+      return out;
+    }
+
+    /** What a process may use so long after it told this. */
+    private static double part(Line s, double laterMs) {
+      if (laterMs >= s.number("holds_ms") && !s.get("is").equals("floor")) return s.number("floor");
+      return s.get("is").equals("more") && laterMs >= s.number("takes_ms") ? s.number("whole") : s.number("part");
+    }
+  }
 }
--- a/src/main/java/saltlatch/lab/run/Lab.java
+++ b/src/main/java/saltlatch/lab/run/Lab.java
@@ -159,7 +159,7 @@
   public static List<Property> properties(Scenario s) {
     List<Property> all = new ArrayList<>(List.of(new Properties.AnsweredOnce(), new Properties.Answered(),
         new Properties.LostOnlyByFaults(s.front().noticeS() * 1000 + SLACK_MS), new Properties.NotRepeated(),
-        new Properties.PassedRan()));
+        new Properties.PassedRan(), new Properties.SharesWithinQuota()));
     if (s.bounds().beyondUnits() > 0) {
       all.add(new Properties.WithinQuota(s.plan().rate(), s.plan().burst(), s.bounds().beyondUnits()));
     }
--- a/src/main/java/saltlatch/node/Roster.java
+++ b/src/main/java/saltlatch/node/Roster.java
@@ -8,6 +8,7 @@
 import saltlatch.history.History;
 import saltlatch.member.Membership;
 import saltlatch.member.Message;
+import saltlatch.member.Shares;
 import saltlatch.member.Standing;
 import saltlatch.member.Terms;
 import saltlatch.wire.Desk;
@@ -25,6 +26,7 @@
   private final Consumer<Event> module;
   private final Terms terms;
   private final Membership membership;
+  private final Shares shares; // as the module has them, to be told
   private Event.Members told;
   private Standing standing;
   private String share = "";
@@ -36,6 +38,7 @@
     this.module = module;
     terms = Terms.of(station.site().nodes(), station.site().peers().intake());
     long now = desk.now();
+    shares = new Shares(station.site().peers().me(), terms.members());
     membership = new Membership(terms, station.site().peers().me(), now / SECOND, station.site().seed(), now, this);
     look();
     tick();
@@ -65,10 +68,14 @@
   /** Tells what has changed. */
   private void look() {
     Event.Members now = membership.members();
-    if (!now.equals(told)) module.accept(now);
+    if (!now.equals(told)) {
+      module.accept(now);
+      shares.follow(now);
+    }
+    boolean changed = !now.equals(told);
     told = now;
-    shareChanged(desk.now() < now.takesUntil() && now.lives().contains(Event.Life.GONE) ? "more"
-        : desk.now() < now.holdsUntil() ? "whole" : "floor");
+    shareIs(desk.now() < now.takesUntil() && now.lives().contains(Event.Life.GONE) ? "more"
+        : desk.now() < now.holdsUntil() ? "whole" : "floor", changed);
     Standing is = membership.standing();
     if (is == standing) return;
     standing = is;
@@ -79,17 +86,24 @@
     }
   }
 
-  /** What of an even share may be used without the counter: the floor, all of it, or more. */
-  private void shareChanged(String to) {
-    if (to.equals(share)) return;
-    share = to;
-    LOG.info("share {}", to);
-    if (history != null) history.add("share", "is", to);
+  /** What of an even share may be used without the counter: the floor, all of it, or more; in full in the history. */
+  private void shareIs(String is, boolean changed) {
+    if (!is.equals(share)) LOG.info("share {}", is);
+    if (history != null && (changed || !is.equals(share))) {
+      long now = desk.now();
+      history.add("share", "is", is, "part", shares.own(now, 0, terms.members()), "whole", 1.0 / terms.members(), "floor",
+          shares.own(Long.MAX_VALUE, 0, terms.members()), "holds_ms", left(told.holdsUntil()), "takes_ms",
+          left(told.takesUntil()));
+    }
+    share = is;
+  }
+
+  private long left(long until) {
+    return Math.max(0, Math.min(terms.lease(), until - desk.now())) / 10;
   }
 
   /** Lines for INFO; times in ms. */
   String figures(long heardWithin) {
-    long now = desk.now();
     return "members_standing=" + standing.name().toLowerCase(Locale.ROOT)
         + "\nmembers_share=" + share
         + "\nmembers_live=" + membership.live()
@@ -98,8 +112,8 @@
         + "\nmembers_view=" + membership.version()
         + "\nmembers_digest=" + Long.toHexString(membership.digest())
         + "\nmembers_health=" + membership.health()
-        + "\nmembers_holds_ms=" + Math.max(0, Math.min(terms.lease(), told.holdsUntil() - now)) / 10
-        + "\nmembers_takes_ms=" + Math.max(0, Math.min(terms.lease(), told.takesUntil() - now)) / 10
+        + "\nmembers_holds_ms=" + left(told.holdsUntil())
+        + "\nmembers_takes_ms=" + left(told.takesUntil())
         + "\nmembers_t1_ms=" + terms.failedWithin() / 10
         + "\nmembers_t2_ms=" + terms.falselyFailedAtMost() / 10
         + "\nmembers_t3_ms=" + terms.equalWithin() / 10
