--- a/src/main/java/saltlatch/node/Roster.java
+++ b/src/main/java/saltlatch/node/Roster.java
@@ -119,6 +119,7 @@
         + "\nmembers_t3_ms=" + terms.equalWithin() / 10
         + "\nmembers_lease_ms=" + terms.lease() / 10
         + "\nmembers_takeover_ms=" + (terms.failedWithin() + terms.takenOverWithin()) / 10
+        + "\nmembers_b=" + (terms.members() - 1)
         + "\nmembers_d_ms=" + heardWithin / 10 + "\n";
   }
 
--- a/src/test/java/saltlatch/GossipTest.java
+++ b/src/test/java/saltlatch/GossipTest.java
@@ -173,4 +173,47 @@
     t.pass(SECOND);
     t.matches("peers-sums");
   }
+
+  /**
+   * Nodes that know each other, the counter silent and no peer heard: this one goes by its even share while its lease runs,
+   * by the floor once it has run out by its own clock, and by more when it takes over what one that left had.
+   */
+  @Test
+  void sharesFollowTheLeases() throws IOException {
+    Trace t = new Trace(Trace.site(7, 2, new Site.Plan(4, 20, 0, 0, 0, 1), false, false, 0, 40));
+    t.list("11/1", "12/1");
+    t.tell(new Event.Members(List.of(Event.Life.LIVE, Event.Life.LIVE), t.now + 5 * SECOND, 0, 2));
+    for (int i = 1; i <= 3; i++) {
+      t.arrive(i, 0, 1);
+      t.now += 300;
+      t.counted(Outcome.LATE);
+      t.ended(i, 0, Outcome.PASSED, 0);
+    }
+    t.say("holds half of the 20 units, 3 of the whole spent: 8.5 left, passes " + passed(t, 100));
+    t.pass(6 * SECOND);
+    t.say("the lease ran out: an eighth, 2.5 units, passes " + passed(t, 200));
+    t.tell(new Event.Members(List.of(Event.Life.LIVE, Event.Life.GONE), t.now + 99 * SECOND, t.now + 99 * SECOND, 2));
+    t.say("takes what the other left from its next req on, passes " + passed(t, 250));
+    t.pass(20 * SECOND);
+    t.say("takes what the other left, 7 eighths: 17.5 units, passes " + passed(t, 300));
+    t.matches("shares-follow-leases");
+  }
+
+  /** How many of twenty reqs pass at one instant, each answered at once. */
+  private static int passed(Trace t, int from) {
+    int passed = 0;
+    for (int i = from; i < from + 20; i++) {
+      t.muted = true;
+      t.left = 3_000_000;
+      t.arrive(i, 0, 1);
+      t.muted = false;
+      if (t.isOut(i)) {
+        passed++;
+        t.muted = true;
+        t.ended(i, 0, Outcome.PASSED, 0);
+      }
+    }
+    t.muted = false;
+    return passed;
+  }
 }
--- a/src/test/java/saltlatch/Trace.java
+++ b/src/test/java/saltlatch/Trace.java
@@ -29,6 +29,7 @@
 
   private final StringBuilder text = new StringBuilder();
   private final List<long[]> wakes = new ArrayList<>();
+  private final java.util.Set<Long> dispatched = new java.util.HashSet<>();
   private final ArrayDeque<Long> names = new ArrayDeque<>();
   private Control control;
   long now = 60_000;
@@ -148,12 +149,18 @@
     }
   }
 
+  /** Whether the req was ever dispatched. */
+  boolean isOut(long rid) {
+    return dispatched.contains(rid);
+  }
+
   int count(String word) {
     return text.toString().split(word, -1).length - 1;
   }
 
   @Override
   public void dispatch(long rid, long srv, long cap) {
+    dispatched.add(rid);
     say("  -> dispatch req " + rid + " to " + srv + " for " + cap / 10.0);
   }
 
--- /dev/null
+++ b/src/test/java/saltlatch/member/SharesTest.java
@@ -0,0 +1,117 @@
+package saltlatch.member;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collections;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import saltlatch.api.Event.Life;
+import saltlatch.api.Event.Members;
+import saltlatch.api.Told;
+import saltlatch.wire.SumsForm;
+
+/** Which part of a quota a node goes by: its own, and that of those that hear exactly each other. */
+class SharesTest {
+  private static final long WITHIN = 30_000;
+
+  private static Shares node(int me, int n, long holdsUntil) {
+    Shares s = new Shares(me, n);
+    s.follow(new Members(Collections.nCopies(n, Life.LIVE), holdsUntil, 0, n));
+    return s;
+  }
+
+  /** Each tells the others whom it hears, through the form, a few rounds long; {@code reach[a][b]}: a's words come to b. */
+  private static List<Shares> told(boolean[][] reach) {
+    int n = reach.length;
+    List<Shares> all = new ArrayList<>();
+    for (int i = 0; i < n; i++) all.add(node(i, n, Long.MAX_VALUE));
+    for (long now = 10_000; now <= 60_000; now += 10_000) {
+      List<Told> words = new ArrayList<>();
+      for (Shares s : all) words.add(SumsForm.read(SumsForm.write(new Told(List.of(), s.hearing(now, WITHIN)))));
+      for (int a = 0; a < n; a++) {
+        for (int b = 0; b < n; b++) if (a != b && reach[a][b]) all.get(b).heard(now, a, words.get(a).hearing());
+      }
+    }
+    return all;
+  }
+
+  private static boolean[][] links(int n, java.util.function.BiPredicate<Integer, Integer> up) {
+    boolean[][] reach = new boolean[n][n];
+    for (int a = 0; a < n; a++) for (int b = 0; b < n; b++) reach[a][b] = up.test(a, b);
+    return reach;
+  }
+
+  @Test
+  void thoseThatHearEachOtherGoByAllOfTheirShares() {
+    for (Shares s : told(links(5, (a, b) -> true))) assertEquals(1, s.pooled(60_000, WITHIN, 0, 5), 1e-9);
+    List<Shares> split = told(links(5, (a, b) -> a < 2 == b < 2));
+    assertEquals(0.4, split.get(0).pooled(60_000, WITHIN, 0, 5), 1e-9);
+    assertEquals(0.6, split.get(4).pooled(60_000, WITHIN, 0, 5), 1e-9);
+    assertEquals(0.5, split.get(4).pooled(60_000, WITHIN, 4, 2), 1e-9); // the set is nodes 4 and 0
+    assertEquals(0, split.get(1).pooled(60_000, WITHIN, 2, 3)); // not of the set
+  }
+
+  /** Node 2 hears both sides, which do not hear each other: it lends to neither. One that is not heard lends nothing. */
+  @Test
+  void aBridgeAndAOneWayCutLendNothingTwice() {
+    List<Shares> bridge = told(links(5, (a, b) -> a == 2 || b == 2 || a < 2 == b < 2));
+    assertEquals(0.4, bridge.get(0).pooled(60_000, WITHIN, 0, 5), 1e-9);
+    assertEquals(0.2, bridge.get(2).pooled(60_000, WITHIN, 0, 5), 1e-9);
+    List<Shares> deaf = told(links(3, (a, b) -> a != 0));
+    assertEquals(1 / 3.0, deaf.get(0).pooled(60_000, WITHIN, 0, 3), 1e-9);
+    assertEquals(2 / 3.0, deaf.get(1).pooled(60_000, WITHIN, 0, 3), 1e-9);
+  }
+
+  /** Whatever links are cut, and in which direction: what all pools may use sums to no more than one. */
+  @Property(tries = 300, seed = "41")
+  void poolsArePartition(@ForAll @IntRange(min = 2, max = 12) int n, @ForAll @IntRange(max = 1_000_000) int seed) {
+    SplittableRandom chance = new SplittableRandom(seed);
+    double cut = 0.5 * chance.nextDouble();
+    boolean[][] reach = links(n, (a, b) -> chance.nextDouble() >= cut);
+    List<Shares> all = told(reach);
+    double sum = 0;
+    for (Shares s : all) { // each of a pool of k has k even shares: all of them together count it once
+      double part = s.pooled(60_000, WITHIN, 0, n);
+      sum += part / Math.round(part * n);
+    }
+    assertTrue(sum <= 1 + 1e-9, "" + sum);
+  }
+
+  /** A node from before says nothing of whom it hears: it is listened to and lends nothing; it reads what is new as sums. */
+  @Test
+  void olderNodesLendNothing() {
+    List<Shares> all = told(links(3, (a, b) -> true));
+    all.get(0).heard(60_000, 2, null);
+    assertEquals(2 / 3.0, all.get(0).pooled(60_000, WITHIN, 0, 3), 1e-9);
+    byte[] words = SumsForm.write(new Told(List.of(new Told.Sum(7, 2, 4.5)), all.get(0).hearing(60_000, WITHIN)));
+    assertTrue(words[0] == 0x51 && (words.length - 1) % 7 == 0 && words.length <= 256);
+    for (int at = 1; at + 7 < words.length; at += 7) assertEquals(-1, words[at], "an id that customers have");
+  }
+
+  /** Any bytes are sums or refused; what is written is read back, however many nodes are told of. */
+  @Property(tries = 300, seed = "42")
+  void formIsReadBackOrRefused(@ForAll byte[] noise, @ForAll @IntRange(max = 1_000_000) int seed) {
+    SumsForm.read(noise);
+    SplittableRandom chance = new SplittableRandom(seed);
+    int nodes = 1 + chance.nextInt(Told.MOST_NODES);
+    BitSet heard = new BitSet();
+    heard.set(chance.nextInt(nodes));
+    for (int i = 0; i < nodes; i++) heard.set(i, heard.get(i) || chance.nextBoolean());
+    List<Told.Sum> sums = new ArrayList<>();
+    for (int i = chance.nextInt(Told.sumsBeside(nodes) + 1); i > 0; i--) {
+      sums.add(new Told.Sum(chance.nextInt(), chance.nextInt(128), chance.nextInt(65_536) / 16.0));
+    }
+    sums.replaceAll(s -> new Told.Sum(s.customer() & 0xffffffffL, s.turn(), s.units()));
+    Told told = new Told(sums, new Told.Hearing(heard, chance.nextBoolean(), chance.nextBoolean()));
+    byte[] words = SumsForm.write(told);
+    assertTrue(words.length <= 256);
+    assertEquals(told, SumsForm.read(words));
+  }
+}
