The lab tells how long membership took, and draws faults from its seed

RunResult and report hold, out of the histories, the times until a dead member was failed at each observer, a continued one was back, and views were equal after a heal, and false verdicts; [drawn] in a scenario draws kills, stops and splits from the seed. CheckTest plants what each must find.

--- a/src/main/java/saltlatch/cli/LabCommand.java
+++ b/src/main/java/saltlatch/cli/LabCommand.java
@@ -56,6 +56,7 @@
         + r.senderLateUs());
     System.out.println("units beyond plan " + r.truth().unitsBeyondPlan() + ", denied with room " + r.deniedWithRoom()
         + ", recovery s " + r.recoveryS() + ", relays us " + r.relayDelayUs());
+    if (r.members() != null) System.out.println("members: " + r.members());
     r.violations().stream().limit(MOST_SHOWN).forEach(System.out::println);
     return r.passed() ? 0 : 1;
   }
--- a/src/main/java/saltlatch/lab/load/RunResult.java
+++ b/src/main/java/saltlatch/lab/load/RunResult.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import saltlatch.lab.check.MemberTimes;
 
 /**
  * One run's figures as the run file holds them (JSON through Gson). Latencies are microseconds, counted from a try's
@@ -13,7 +14,7 @@
     long deniedWithRoom, Map<String, Long> latencyUs, Map<String, Long> senderLateUs, List<long[]> perSecond,
     Truth truth, Map<String, Long> emulator, List<Map<String, Long>> nodeCounters, List<Customer> customers,
     Process process, List<Check> checks, List<Fault> faults, Map<String, Long> relayDelayUs, List<String> violations,
-    double recoveryS) {
+    double recoveryS, MemberTimes members) {
 
   /**
    * A fault of the schedule on a process or a link, for the time line: seconds since the load's start, and the units by which
--- a/src/main/java/saltlatch/lab/report/Report.java
+++ b/src/main/java/saltlatch/lab/report/Report.java
@@ -105,6 +105,7 @@
           .append(" ").append(esc(String.join(", ", f.nodes()))).append("; the worst customer's units beyond its quota grew by ")
           .append(fmt(f.beyondUnits())).append("</li>");
     }
+    if (r.members() != null) o.append("<li>membership: ").append(esc(r.members().toString())).append("</li>");
     o.append("</ul><p>Survivors' passed share back at nine tenths after ").append(r.recoveryS() < 0 ? "the run's end"
         : fmt(r.recoveryS()) + " s").append("; relays' own delay ").append(esc(String.valueOf(r.relayDelayUs())))
         .append(" µs.</p>");
--- a/src/main/java/saltlatch/lab/run/Lab.java
+++ b/src/main/java/saltlatch/lab/run/Lab.java
@@ -17,6 +17,7 @@
 import saltlatch.Control;
 import saltlatch.history.History;
 import saltlatch.lab.check.Line;
+import saltlatch.lab.check.MemberTimes;
 import saltlatch.lab.check.Properties;
 import saltlatch.lab.check.Property;
 import saltlatch.lab.check.Recovery;
@@ -25,6 +26,7 @@
 import saltlatch.lab.load.LoadRunner;
 import saltlatch.lab.load.Outcome;
 import saltlatch.lab.load.RunResult;
+import saltlatch.lab.plan.Drawn;
 import saltlatch.lab.plan.Group;
 import saltlatch.lab.plan.Links;
 import saltlatch.lab.plan.Offered;
@@ -66,7 +68,7 @@
 
   /** Runs the scenario; nodes are child processes when {@code program} is given, with histories in its directory. */
   public static RunResult run(Scenario scenario, int nodes, Processes.Program program) throws Exception {
-    Scenario s = nodes > 0 ? scenario.withNodes(nodes) : scenario;
+    Scenario s = Drawn.into(nodes > 0 ? scenario.withNodes(nodes) : scenario);
     if (program == null && !s.processes().faults().isEmpty()) {
       throw new IllegalArgumentException("scenario: faults on processes want --processes");
     }
@@ -144,7 +146,7 @@
       return new RunResult(s.name(), s.json(), s.seed(), Offered.digest(schedule), s.seconds(), s.nodes(),
           s.servers().count(), schedule.size(), load.tries(), load.outcomes(), load.retryAfter(), load.deniedWithRoom(),
           load.latency(), load.senderLate(), load.perSecond(), truth, emu, nodeCounters, customers, process, checks, faults,
-          relays == null ? Map.of() : relays.delayUs(), violations, recovery);
+          relays == null ? Map.of() : relays.delayUs(), violations, recovery, MemberTimes.of(history));
     } finally {
       if (processes != null) processes.close();
       for (Node n : started) n.stop();
--- a/src/main/java/saltlatch/lab/scenario/Scenario.java
+++ b/src/main/java/saltlatch/lab/scenario/Scenario.java
@@ -21,7 +21,10 @@
  */
 public record Scenario(String name, long seed, double seconds, int nodes, Servers servers, Counter counter,
     Discovery discovery, Peers peers, Load load, Plan plan, Plan oldPlan, Front front, Processes processes, Links links,
-    Bounds bounds) {
+    Bounds bounds, Drawn drawn) {
+
+  /** Faults drawn from the seed: nodes killed and stopped from {@code at_s} on, then splits (lab.plan.Drawn). */
+  public record Drawn(int kills, int pauses, int splits, double atS) {}
 
   /** Stated bounds that a run is checked against: units beyond its quota for any customer; 0: not checked. */
   public record Bounds(double beyondUnits) {}
@@ -63,13 +66,19 @@
   /** The same with another number of nodes. */
   public Scenario withNodes(int n) {
     return new Scenario(name, seed, seconds, n, servers, counter, discovery, peers, load, plan, oldPlan, front, processes,
-        links, bounds);
+        links, bounds, drawn);
+  }
+
+  /** The same with other faults on processes and links. */
+  public Scenario withFaults(List<ProcessFault> onProcesses, List<LinkFault> onLinks) {
+    return new Scenario(name, seed, seconds, nodes, servers, counter, discovery, peers, load, plan, oldPlan, front,
+        new Processes(List.copyOf(onProcesses)), new Links(List.copyOf(onLinks)), bounds, null);
   }
 
   /** The same with another seed. */
   public Scenario withSeed(long other) {
     return new Scenario(name, other, seconds, nodes, servers, counter, discovery, peers, load, plan, oldPlan, front,
-        processes, links, bounds);
+        processes, links, bounds, drawn);
   }
 
   /** The app servers: {@code count} of them, latency lognormal by median and 99th percentile. */
@@ -173,7 +182,7 @@
         d, p, l, q, oldPlan == null ? q : oldPlan, front == null ? new Front(0) : front,
         new Processes(processes == null || processes.faults == null ? List.of() : List.copyOf(processes.faults)),
         new Links(links == null || links.faults == null ? List.of() : List.copyOf(links.faults)),
-        bounds == null ? new Bounds(0) : bounds);
+        bounds == null ? new Bounds(0) : bounds, drawn);
     out.check();
     return out;
   }
--- a/src/test/java/saltlatch/lab/CheckTest.java
+++ b/src/test/java/saltlatch/lab/CheckTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import saltlatch.history.History;
 import saltlatch.lab.check.Line;
+import saltlatch.lab.check.MemberTimes;
 import saltlatch.lab.check.Properties;
 import saltlatch.lab.check.Property;
 import saltlatch.lab.check.Recovery;
@@ -162,4 +163,49 @@
     Files.writeString(file, Files.readString(file).replaceFirst("\n", "\nnot an event\n"));
     assertThrows(IOException.class, () -> Line.readAll(dir)); // torn where nothing ended: not passed over
   }
+
+  private void share(String node, String is, String part, String holdsMs) {
+    add(node, "share", "is", is, "part", part, "whole", "0.5", "floor", "0.125", "holds_ms", holdsMs, "takes_ms", holdsMs);
+  }
+
+  /** Shares above one are found; one whose lease ran out unsaid, or that was killed, does not count. */
+  @Test
+  void sharesAboveTheQuota() {
+    share("n0", "whole", "0.5", "1000");
+    share("n1", "whole", "0.5", "1000");
+    finds(new Properties.SharesWithinQuota(), 0);
+    share("n1", "more", "0.875", "1000");
+    finds(new Properties.SharesWithinQuota(), 1);
+    ms += 1_000; // n0 stopped: it said nothing, and its lease has run out
+    share("n1", "more", "0.875", "1000");
+    finds(new Properties.SharesWithinQuota(), 1);
+    share("n0", "whole", "0.5", "1000");
+    finds(new Properties.SharesWithinQuota(), 2);
+    add("director", "fault", "kind", "kill", "node", "n0");
+    share("n1", "more", "0.875", "1000");
+    finds(new Properties.SharesWithinQuota(), 2);
+  }
+
+  @Test
+  void timesOfMembership() {
+    for (String n : List.of("n0", "n1", "n2")) {
+      add(n, "started");
+      for (String m : List.of("n0", "n1", "n2")) add(n, "member", "member", m, "state", "alive");
+    }
+    add("director", "fault", "kind", "kill", "node", "n2");
+    long killed = ms;
+    ms += 2_000;
+    add("n0", "member", "member", "n2", "state", "failed");
+    ms += 1_000;
+    add("n1", "member", "member", "n2", "state", "failed");
+    add("n1", "member", "member", "n0", "state", "failed"); // which runs, and nothing is cut
+    MemberTimes t = MemberTimes.of(history);
+    assertEquals(List.of(2.001, 3.002), t.failed());
+    assertEquals(1, t.falselyFailed());
+    add("director", "planned", "what", "cut n0 - n1", "from_ns", "" + (killed * 1_000_000 + 500), "until_ns",
+        "" + (ms + 10) * 1_000_000);
+    ms += 500;
+    add("n1", "member", "member", "n0", "state", "alive");
+    assertEquals(1, MemberTimes.of(history).equal().size());
+  }
 }
