--- /dev/null
+++ b/src/main/java/saltlatch/rules/Contradictions.java
@@ -0,0 +1,78 @@
+package saltlatch.rules;
+
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import saltlatch.api.Site;
+
+/**
+ * What of two versions must not be acted on at once: where a node on the older one does what the newer one forbids. What a
+ * newer one only allows besides overlaps harmlessly. docs/rules-design.md has the table.
+ */
+public record Contradictions(Set<String> plans, Set<String> frontends, Set<String> srvs, Set<Long> customers, boolean sends) {
+
+  public static Contradictions between(RuleSet older, RuleSet newer) {
+    Set<String> plans = new TreeSet<>();
+    older.plans().forEach((name, p) -> {
+      Site.Plan q = newer.plans().get(name);
+      if (q == null || isTighter(p, q)) plans.add(name);
+    });
+    Set<String> frontends = new TreeSet<>();
+    older.frontends().forEach((name, f) -> {
+      Site.Frontend g = newer.frontends().get(name);
+      if (g == null || isTighter(f, g)) frontends.add(name);
+    });
+    return new Contradictions(plans, frontends, without(newer.heldOut(), older.heldOut()), customers(older, newer),
+        newer.limits().sendCap() < older.limits().sendCap());
+  }
+
+  /** A quota, cap or ceiling that allows less; 0 stands for none at all. */
+  private static boolean isTighter(Site.Plan p, Site.Plan q) {
+    return less(p.rate(), q.rate()) || q.rate() > 0 && p.rate() > 0 && q.burst() < p.burst() || less(p.parallel(), q.parallel())
+        || less(p.ceilingRate(), q.ceilingRate()) || q.ceilingRate() > 0 && p.ceilingRate() > 0
+        && q.ceilingBurst() < p.ceilingBurst();
+  }
+
+  private static boolean less(double older, double newer) {
+    return newer > 0 && (older <= 0 || newer < older);
+  }
+
+  /** One that may be run again less freely, or whose repeats are remembered for less, or in a smaller group. */
+  private static boolean isTighter(Site.Frontend f, Site.Frontend g) {
+    return g.effect().ordinal() > f.effect().ordinal() || g.group().ordinal() > f.group().ordinal()
+        || g.remembered() < f.remembered();
+  }
+
+  /** Those barred anew, and those exempt no longer. */
+  private static Set<Long> customers(RuleSet older, RuleSet newer) {
+    Set<Long> out = without(newer.barred(), older.barred());
+    out.addAll(without(older.exempt(), newer.exempt()));
+    return out;
+  }
+
+  private static <T extends Comparable<T>> Set<T> without(SortedSet<T> all, SortedSet<T> these) {
+    Set<T> out = new TreeSet<>(all);
+    out.removeAll(these);
+    return out;
+  }
+
+  public boolean isEmpty() {
+    return plans.isEmpty() && frontends.isEmpty() && srvs.isEmpty() && customers.isEmpty() && !sends;
+  }
+
+  /** Whether deciding that req on the older version may go against the newer; app servers are asked for one by one. */
+  public boolean touch(String plan, String frontend, long customer) {
+    return sends || plans.contains(plan) || frontends.contains(frontend) || customers.contains(customer);
+  }
+
+  /** The keys that are contradicted, as pins name them. */
+  public Set<String> keys() {
+    Set<String> out = new TreeSet<>();
+    plans.forEach(p -> out.add("plans." + p));
+    frontends.forEach(f -> out.add("frontends." + f));
+    if (!srvs.isEmpty()) out.add("heldOut");
+    if (!customers.isEmpty()) out.add("customers");
+    if (sends) out.add("sendCap");
+    return out;
+  }
+}
--- a/src/test/java/saltlatch/member/MembershipTest.java
+++ b/src/test/java/saltlatch/member/MembershipTest.java
@@ -105,6 +105,21 @@
     }
   }
 
+  /** Nobody returns in a herd: after a heal datagrams go out as evenly as before. */
+  @Test
+  void noThunderingReturn() {
+    Fleet f = joined(40, 15);
+    f.burst = 0;
+    f.pass(30 * Fleet.SECOND);
+    int calm = f.burst;
+    f.reach = (a, b) -> a < 20 == b < 20;
+    f.pass(f.terms.failedWithin());
+    f.reach = (a, b) -> true;
+    f.burst = 0;
+    f.pass(f.terms.equalWithin());
+    assertTrue(f.agree() && f.burst <= 3 * calm, f.burst + " at once after the heal, " + calm + " before");
+  }
+
   /** One way: member 0 hears member 1 and is not heard by it. Others vouch for both: nobody is failed. */
   @Test
   void oneWayCutAndBridgeFailNobody() {
