--- a/src/test/java/saltlatch/rules/RulesTest.java
+++ b/src/test/java/saltlatch/rules/RulesTest.java
@@ -15,6 +15,7 @@
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
 import saltlatch.api.Site;
+import saltlatch.wire.RulesForm;
 
 /** Agreed rules as a model in virtual time: nodes with drifting clocks, pauses and cuts, and one register of versions. */
 class RulesTest {
@@ -276,4 +277,32 @@
     f.answered(2 * SECOND + 2, numbers.get(0), new Follower.Answer(two.version(), null, null));
     assertFalse(f.isCurrent(TERMS.lease()));
   }
+
+  /** A rule set is read back as it was written; one misspelt key, or one of another kind, is refused by its name. */
+  @Test
+  void theFormRefusesByKey() throws RulesForm.Malformed {
+    RuleSet r = rules(5, RuleSet.Expired.WAIT, "plans.plan", "customers");
+    r.barred().add(0x9b1f03aaL);
+    assertEquals(r, RulesForm.read(RulesForm.write(r)));
+    assertEquals(RulesForm.hash(r), RulesForm.hash(r.as(new Version(2, 7))));
+    String text = RulesForm.write(r);
+    Map<String, String> bad = Map.of("\"plans\"", "\"plan\"", "\"burst\":20.0", "\"burst\":\"x\"", "\"replayable\"", "\"maybe\"",
+        "\"9b1f03aa\"", "\"nobody\"", "\"send_cap\":4", "\"send_cap\":4.5");
+    List<String> told = new ArrayList<>();
+    bad.forEach((from, to) -> {
+      try {
+        RulesForm.read(text.replace(from, to));
+      } catch (RulesForm.Malformed e) {
+        told.add(e.getMessage());
+      }
+    });
+    told.sort(null);
+    assertEquals(List.of("barred: nobody is no customer",
+        "frontends.read.effect: maybe is none of [replayable, uniqued, non_replayable]", "limits.send_cap: a whole number",
+        "plan: not known", "plans.plan.burst: no number"), told);
+    Follower.Answer a = new Follower.Answer(new Version(1, 2), r, null);
+    assertEquals(a, RulesForm.answer(RulesForm.write(a)));
+    Follower.Report report = new Follower.Report("n1", new Version(1, 1), Version.NONE, new Version(1, 2), "plans.plan: no");
+    assertEquals(report, RulesForm.report(RulesForm.write(report)));
+  }
 }
