--- a/src/main/java/saltlatch/member/Message.java
+++ b/src/main/java/saltlatch/member/Message.java
@@ -4,7 +4,8 @@
 
 /**
  * What members say to each other. {@code incarnation} is the sender's; {@code target} the member a probe by proxy is about;
- * {@code vouches}: it has not held the receiver failed or left for a lease; {@code digest} stands for the sender's whole view, so that two that differ notice.
+ * {@code vouches}: it has not held the receiver failed or left for a lease; {@code digest} stands for the sender's whole view,
+ * so that two that differ notice.
  */
 public record Message(Kind kind, int seq, int target, long incarnation, long digest, boolean vouches, List<News> news) {
   public enum Kind { PING, ACK, ASK, NACK }
--- a/src/main/java/saltlatch/member/Shares.java
+++ b/src/main/java/saltlatch/member/Shares.java
@@ -43,7 +43,7 @@
     return view.lives().get(member) == Life.LIVE;
   }
 
-  public boolean holds(long now) {
+  private boolean holds(long now) {
     return now < view.holdsUntil();
   }
 
--- a/src/main/java/saltlatch/node/Roster.java
+++ b/src/main/java/saltlatch/node/Roster.java
@@ -68,12 +68,12 @@
   /** Tells what has changed. */
   private void look() {
     Event.Members now = membership.members();
-    if (!now.equals(told)) {
+    boolean changed = !now.equals(told);
+    if (changed) {
       module.accept(now);
       shares.follow(now);
+      told = now;
     }
-    boolean changed = !now.equals(told);
-    told = now;
     shareIs(desk.now() < now.takesUntil() && now.lives().contains(Event.Life.GONE) ? "more"
         : desk.now() < now.holdsUntil() ? "whole" : "floor", changed);
     Standing is = membership.standing();
--- a/src/main/java/saltlatch/rules/Contradictions.java
+++ b/src/main/java/saltlatch/rules/Contradictions.java
@@ -56,10 +56,6 @@
     return out;
   }
 
-  public boolean isEmpty() {
-    return plans.isEmpty() && frontends.isEmpty() && srvs.isEmpty() && customers.isEmpty() && !sends;
-  }
-
   /** Whether deciding that req on the older version may go against the newer; app servers are asked for one by one. */
   public boolean touch(String plan, String frontend, long customer) {
     return sends || plans.contains(plan) || frontends.contains(frontend) || customers.contains(customer);
--- a/src/main/java/saltlatch/wire/RulesForm.java
+++ b/src/main/java/saltlatch/wire/RulesForm.java
@@ -46,13 +46,7 @@
 
   public static RuleSet read(String text) throws Malformed {
     if (text.length() > LONGEST) throw new Malformed("longer than " + LONGEST + " characters");
-    JsonElement all;
-    try {
-      all = JsonParser.parseString(text);
-    } catch (JsonParseException e) {
-      throw new Malformed("no JSON: " + e.getMessage());
-    }
-    return rules(new Part("", all));
+    return rules(new Part("", parsed(text)));
   }
 
   private static RuleSet rules(Part p) throws Malformed {
--- a/src/test/java/saltlatch/lab/MembersIT.java
+++ b/src/test/java/saltlatch/lab/MembersIT.java
@@ -50,6 +50,23 @@
       deadline_ms = 2000
       """;
 
+  private static final String NOISE = """
+      [[links.faults]]
+      kind = "duplicate"
+      at_s = 0
+      share = 0.2
+      extra_ms = 40
+      from = "nodes"
+      to = "nodes"
+      [[links.faults]]
+      kind = "reorder"
+      at_s = 0
+      share = 0.3
+      extra_ms = 60
+      from = "nodes"
+      to = "nodes"
+      """;
+
   @TempDir
   Path dir;
 
@@ -196,7 +213,7 @@
       starved.append("[[processes.faults]]\nkind = \"pause\"\nat_s = %.1f\nfor_s = 0.6\nnodes = \"n0\"\n"
           .formatted(2 + 0.9 * i));
     }
-    run(56, 5, starved + """
+    run(56, 5, starved + NOISE + """
         [[links.faults]]
         kind = "cut"
         at_s = 0
@@ -214,20 +231,6 @@
         period_ms = 700
         from = "n2"
         to = "n3"
-        [[links.faults]]
-        kind = "duplicate"
-        at_s = 0
-        share = 0.2
-        extra_ms = 40
-        from = "nodes"
-        to = "nodes"
-        [[links.faults]]
-        kind = "reorder"
-        at_s = 0
-        share = 0.3
-        extra_ms = 60
-        from = "nodes"
-        to = "nodes"
         [[processes.faults]]
         kind = "pause"
         at_s = 14
@@ -249,7 +252,7 @@
   /** Two halves of three for 10 s, 30 % loss with duplicates and reordering throughout: neither side takes anything over. */
   @Test
   void equalHalvesUnderLoss() throws Exception {
-    run(60, 6, """
+    run(60, 6, NOISE + """
         [[links.faults]]
         kind = "loss"
         at_s = 0
@@ -257,20 +260,6 @@
         from = "nodes"
         to = "nodes"
         [[links.faults]]
-        kind = "duplicate"
-        at_s = 0
-        share = 0.2
-        extra_ms = 40
-        from = "nodes"
-        to = "nodes"
-        [[links.faults]]
-        kind = "reorder"
-        at_s = 0
-        share = 0.3
-        extra_ms = 60
-        from = "nodes"
-        to = "nodes"
-        [[links.faults]]
         kind = "cut"
         at_s = 6
         for_s = 10
