A late connection asks the module again; closes are seen with what came in front of them

Cause: AppLink.open wrote the held dispatch whenever its connection came up, and the module, which may not cancel there, had no say. The same lines let a dispatch begin past its app srv's drain or its repeat window. Change: the module is asked (Gateway.mayBegin) in the instant of writing, after all of that turn is told, closes too; a refusal ends the dispatch as WITHDRAWN: never ran, and no fault of the app srv. A turn's events go to the module behind its closes. A resting connection to an app srv ends with any byte that comes (half a line stayed and spoilt the next answer). ClientLink ends its own side and reads on for 0.2 s, 128 KiB at most, so that no reset takes the answer along. The shutdown hook stands before the node is ready; connections that come after the end of service are closed at every look; nothing is sent on while all is closed.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -52,6 +52,7 @@
   static final double CROWD_FREE = 2; // dispatches out that never make an app srv crowded
   static final double CREDIT = 2; // turns an app srv may be ahead or behind, so that none saves up a rush
   static final double COLD_USE = 0.5; // part of the cold budget used: the guide and the chance are rough
+  static final long WAY = 200; // 20 ms: a further dispatch's last byte is there by then, as a rule
   static final double RATE_TIME = 10_000; // 1 s: over this the rate of passed dispatches is taken
   static final double WAIT_PART = 0.3; // part of the response target that dispatches may take on average
   static final double FREE_OUT = 3; // dispatches out of all nodes for each warm app srv, free of pressure
@@ -73,6 +74,7 @@
   private static final class Dispatch {
     Srv srv;
     long began; // its sending
+    long since; // start of its app srv, as known then
     long sent; // the same, later by the time that this node was away meanwhile
     double pace; // time it was thought to take
     boolean cancelled;
@@ -112,7 +114,8 @@
     double done, busy; // fading dispatches managed, and the mean dispatch times they took
     long fadedAt, heardAt; // the latter: last answer, or sending of the first dispatch out
     double credit; // its place in the rotation
-    final ArrayDeque<double[]> coldSent = new ArrayDeque<>(); // time and units
+    double coldLeft; // units that it may be sent while it is cold; below 0: sent ahead
+    long coldAt;
   }
 
   /** A count call; lives until its answer. */
@@ -158,7 +161,7 @@
   private double passed, meanValue; // fading number of passed dispatches; of a unit
   private int out;
   private double memory = MEMORY; // over this an app srv's record fades
-  private double unitsSent; // fading, over the cold rule's window
+  private double unitsSent, unitsAsked; // fading, over the cold rule's window; the latter: of what was wanted
   private double warmSeen; // app srvs, cold ones counted in part
   private long followAt; // discovery is asked then; asked already: never
   private long roundAt, roundSet; // next housekeeping: wanted, and asked for
@@ -429,22 +432,35 @@
     return rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age) / rules.cold();
   }
 
-  /** A cold app srv takes, in each window of the rule, a part of what warm ones get times the multiple. */
-  private boolean coldAllows(Srv s, double units) {
+  /**
+   * A cold app srv takes, in each window of the rule, a part of what warm ones get times the multiple. A
+   * node's part is a rate, begun at random: many nodes with a part below one req must not send it one each.
+   */
+  private boolean coldAllows(Srv s) {
     double warmth = warmth(s);
     if (warmth >= 1) return true;
-    while (!s.coldSent.isEmpty() && s.coldSent.peek()[0] <= now - rules.fallTime()) s.coldSent.poll();
-    double sum = s.coldSent.stream().mapToDouble(one -> one[1]).sum();
-    double budget = COLD_USE * rules.fallMultiple() * warmth * unitsSent / Math.max(1, warmSeen);
-    return sum == 0 || sum + units <= budget;
+    // Where all are cold nothing has been sent yet: what is asked for then tells what each would carry.
+    double carried = Math.max(unitsSent, unitsAsked) / Math.max(1, warmSeen);
+    double budget = COLD_USE * rules.fallMultiple() * warmth * carried;
+    double gained = budget * (now - s.coldAt) / Math.max(1, rules.fallTime());
+    s.coldLeft = Math.min(Math.max(1, budget), s.coldLeft + gained);
+    s.coldAt = now;
+    return s.coldLeft >= 1;
+  }
+
+  /** It has just started, or is heard of so: this node begins anywhere in the way to its first dispatch there. */
+  private void chill(Srv s) {
+    s.coldLeft = chance.nextDouble();
+    s.coldAt = now;
   }
 
   /** The weighted rotation: each gains its part, the richest that is not crowded gets the turn and pays. */
   private Srv choose(Req r) {
     List<Srv> able = new ArrayList<>();
+    if (r.sends == 0) unitsAsked += r.told.units();
     srvs.each(s -> {
       boolean tried = r.sends == 1 && r.last == s;
-      if (s.usable && !tried && inGroup(r, s) && coldAllows(s, r.told.units())) able.add(s);
+      if (s.usable && !tried && inGroup(r, s) && coldAllows(s)) able.add(s);
     });
     double[] weights = able.stream().mapToDouble(this::weight).toArray();
     double all = 0;
@@ -489,9 +505,10 @@
         s.credit = chance.nextDouble(); // many nodes with few reqs each must not begin with the same app srvs
       } else if (e.since() != s.since) {
         s.done = s.busy = 0;
-        s.coldSent.clear();
       }
+      boolean fresh = e.since() != s.since;
       s.since = e.since();
+      if (fresh && warmth(s) < 1) chill(s);
       s.zone = e.zone();
       s.cell = e.cell();
       s.rating = e.rating();
@@ -550,20 +567,37 @@
     }
     r.kind.recentTime += RECENT * (spent - r.kind.recentTime);
     boolean time = how == Outcome.PASSED || how == Outcome.CANCELLED || how == Outcome.LATE;
-    s.busy += time ? spent / d.pace : how == Outcome.NOT_SENT ? 0 : FAULT;
+    s.busy += time ? spent / d.pace : how == Outcome.NOT_SENT || how == Outcome.WITHDRAWN ? 0 : FAULT;
     forget(s);
   }
 
   /** Nothing is out any more, no answer has come: another dispatch where the frontend allows, or the end. */
   private void again(Req r, Outcome how) {
     Site.Frontend f = r.kind.rule;
-    boolean harmless = r.ranSince < 0 || f.effect() == Site.Effect.REPLAYABLE
-        || f.effect() == Site.Effect.UNIQUED && now + site.tick() < r.ranSince + f.remembered();
+    boolean harmless = r.ranSince < 0 || f.effect() == Site.Effect.REPLAYABLE || remembers(r);
     harmless &= !r.streaming && now < r.end && how != Outcome.NOT_SENT;
     r.next = harmless && r.sends < rules.sendCap() ? choose(r) : null;
     if (r.next == null) finish(r, End.DENIED, rules.longestPause());
   }
 
+  /** Uniqued, and its first dispatch that may have run is still known where a further one comes now. */
+  private boolean remembers(Req r) {
+    Site.Frontend f = r.kind.rule;
+    return f.effect() == Site.Effect.UNIQUED && now + WAY < r.ranSince + f.remembered();
+  }
+
+  // Guards against a connection that comes up when what allowed its dispatch is past: the client gone, the
+  // app srv told to drain or replaced, the repeat window over.
+  @Override
+  public boolean mayBegin(long at, long rid, int dispatch) {
+    now = Math.max(now, at);
+    Req r = reqs.find(rid);
+    if (r == null || r.over || r.live == null || dispatch != r.sends - 1 || now >= r.end) return false;
+    Srv s = r.live.srv;
+    return s.usable && s.since == r.live.since
+        && (r.ranSince < 0 || r.kind.rule.effect() == Site.Effect.REPLAYABLE || remembers(r));
+  }
+
   /** Wants the final answer; a denial becomes an abort where it could do harm. */
   private void finish(Req r, End end, long pause) {
     Site.Frontend f = r.kind.rule;
@@ -605,7 +639,9 @@
   private void round() {
     roundAt = now + ROUND;
     passed *= Math.exp(-ROUND / RATE_TIME);
-    unitsSent *= Math.exp(-ROUND / Math.max(1.0, rules.fallTime()));
+    double kept = Math.exp(-ROUND / Math.max(1.0, rules.fallTime()));
+    unitsSent *= kept;
+    unitsAsked *= kept;
     weighFleet();
     memory = Math.max(MEMORY, Math.min(AGEING, TURNS * warmSeen * RATE_TIME / Math.max(1, passed)));
     reqs.each(r -> {
@@ -683,7 +719,8 @@
     d.srv.paceSum += 1 / d.pace;
     d.srv.paceBase += now / d.pace;
     unitsSent += r.told.units();
-    if (warmth(d.srv) < 1) d.srv.coldSent.add(new double[] {now, r.told.units()});
+    d.since = d.srv.since;
+    d.srv.coldLeft -= r.told.units();
     to.dispatch(r.told.rid(), d.srv.id, r.end - now);
   }
 }
--- a/src/main/java/saltlatch/Quotas.java
+++ b/src/main/java/saltlatch/Quotas.java
@@ -24,7 +24,7 @@
   static final double OTHERS_TIME = 50_000; // 5 s: over this the rate of what other nodes pass is taken
   static final double MOST_TOLD = 8; // bursts: a peer that tells of more in one window is wrong
   static final double NOUGHT = 0.01; // units: totals come to seven digits
-  static final double LATE = 1.2; // periods without a word after which a peer may be cut off: its next is overdue
+  static final double LATE = 1.2; // periods without a word after which a peer may be cut off: one is overdue
   static final double COUNTED = 0.05; // step of the part of charges counted before the turn: 20 windows
 
   /** One customer's count for one window; lives for the window and the longest client timeout. */
@@ -307,7 +307,7 @@
   }
 
   /**
-   * What those may have passed of whom no word came for over a period: they may be cut off, with the same room
+   * What those may have passed of whom no word came for over a period: they may be cut off, the same room
    * before their eyes. They are taken to pass what they did, or as much each as this node does meanwhile.
    */
   private double unsaid(Customer c, double rate) {
--- a/src/main/java/saltlatch/api/Actions.java
+++ b/src/main/java/saltlatch/api/Actions.java
@@ -26,8 +26,6 @@
 
   void follow(boolean on);
 
-  void fetchList();
-
   void tell(int peer, Told told);
 
   void note(String text);
--- a/src/main/java/saltlatch/api/Event.java
+++ b/src/main/java/saltlatch/api/Event.java
@@ -10,11 +10,11 @@
 
   /** How a dispatch, a probe or a count call ended. */
   enum Outcome {
-    PASSED, ERROR, FULL, LATE, NOT_CONNECTED, BROKEN, CANCELLED, NOT_SENT;
+    PASSED, ERROR, FULL, LATE, NOT_CONNECTED, BROKEN, CANCELLED, NOT_SENT, WITHDRAWN;
 
     /** The app srv cannot have run it. */
     public boolean neverRan() {
-      return this == FULL || this == NOT_CONNECTED || this == NOT_SENT;
+      return this == FULL || this == NOT_CONNECTED || this == NOT_SENT || this == WITHDRAWN;
     }
   }
 
--- a/src/main/java/saltlatch/api/Gateway.java
+++ b/src/main/java/saltlatch/api/Gateway.java
@@ -7,6 +7,14 @@
   /** Events of one instant, in order of arrival; {@code now} is the common clock in tenths of a ms. */
   void handle(long now, List<Event> events);
 
+  /**
+   * Whether a dispatch may still begin. Asked in the instant of its writing where its connection came up only after it was
+   * wanted, once all that has happened meanwhile is told.
+   */
+  default boolean mayBegin(long now, long rid, int dispatch) {
+    return true;
+  }
+
   /** Overdue by more than this, the host has not run: what it reads then may have lain unread, and its age is told. */
   default long awayAfter() {
     return Long.MAX_VALUE;
--- a/src/main/java/saltlatch/node/Pilot.java
+++ b/src/main/java/saltlatch/node/Pilot.java
@@ -38,8 +38,6 @@
     Peers.Host {
   private static final Logger LOG = LoggerFactory.getLogger(Pilot.class);
 
-  private static final long REWATCH = 10_000; // 1 s; the agent is on this machine and answers at no cost
-
   private final Vertx vertx;
   private final Context loop;
   private final Station station;
@@ -98,8 +96,9 @@
     if (station.membership()) roster = new Roster(this, peers, history, station, this::add);
   }
 
-  /** The end is near, and planned: the peers are told. */
+  /** The end is near, and planned: nothing is sent on any more, and the peers are told. */
   void leave() {
+    if (discovery != null) discovery.stop();
     if (roster != null) roster.leave();
   }
 
@@ -131,6 +130,12 @@
     return t;
   }
 
+  /** A turn's closes are told by tasks of their own, behind what was read: by the second hop they are. */
+  @Override
+  public void afterTurn(Runnable then) {
+    loop.runOnContext(v -> loop.runOnContext(w -> then.run()));
+  }
+
   /** Sets the one timer of the loop for what falls due first; dropped ones must not wake the loop. */
   private void arm() {
     long next = timers.earliest();
@@ -176,11 +181,12 @@
     batch.add(e);
     if (scheduled) return;
     scheduled = true;
-    loop.runOnContext(v -> flush());
+    afterTurn(this::flush); // guards against reqs of clients that are gone already, read along with their close
   }
 
   private void flush() {
     scheduled = false;
+    if (batch.isEmpty()) return;
     look();
     List<Event> events = batch;
     batch = new ArrayList<>();
@@ -266,6 +272,12 @@
     if (history != null && !x.over()) history.add("answered", "id", x.req.id, "how", how);
   }
 
+  @Override
+  public boolean mayBegin(Exchange x, int dispatch) {
+    flush();
+    return !x.over() && gateway.mayBegin(clock.now(), x.rid, dispatch);
+  }
+
   @Override
   public void probed(int srv, Answer answer, long spent) {
     add(new Event.Probed(srv, answer.ending().outcome(), spent, load(answer)));
@@ -289,16 +301,11 @@
     add(listed(list, list.whole() ? Event.ListKind.WHOLE : Event.ListKind.CHANGES));
   }
 
-  @Override
-  public void fetchFailed() {
-    add(new Event.Listed(Event.ListKind.FAILED, List.of()));
-  }
-
   /** Where changes come unasked the watch is this host's to renew, elsewhere the module's. */
   @Override
   public void watchEnded() {
     if (station.site().rules().mustFollow()) add(new Event.Listed(Event.ListKind.FAILED, List.of()));
-    else at(now() + REWATCH, discovery::follow);
+    else discovery.follow();
   }
 
   private Event listed(TargetList list, Event.ListKind kind) {
@@ -416,11 +423,6 @@
     else discovery.stop();
   }
 
-  @Override
-  public void fetchList() {
-    discovery.fetch();
-  }
-
   @Override
   public void tell(int peer, Told told) {
     if (peers != null) peers.tell(peer, SumsForm.write(told));
--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -40,6 +40,7 @@
   private final Pilot pilot;
   private final Door door;
   private final History history; // null: the configuration names no directory for it
+  private boolean stopping;
 
   Serve(Station station) {
     this.station = station;
@@ -67,13 +68,14 @@
       return 2;
     }
     serve.rereadOnHangup(Path.of(path));
+    // Before the node is ready: whoever sees it ready may end it in the same instant.
+    Runtime.getRuntime().addShutdownHook(new Thread(serve::terminate));
     try {
       serve.start(maker).toCompletionStage().toCompletableFuture().get();
     } catch (ExecutionException | InterruptedException e) {
       err.println("saltlatch serve: " + serve.station.listen() + ": " + e.getCause());
       return 3;
     }
-    Runtime.getRuntime().addShutdownHook(new Thread(serve::terminate));
     return 0;
   }
 
@@ -133,12 +135,14 @@
     Promise<Void> open = Promise.promise();
     loop.runOnContext(v -> {
       try {
+        if (stopping) throw new IllegalStateException("told to end before it was ready");
         pilot.start(maker);
       } catch (RuntimeException e) {
         open.fail(e);
         return;
       }
       door.open(station.listen()).onFailure(open::fail).onSuccess(done -> {
+        if (stopping) return; // it never was ready: nobody counts on it
         door.ready();
         LOG.info("{} serves on {}", station.name(), station.listen());
         if (history != null) history.add("ready");
@@ -180,15 +184,17 @@
     long end = Math.max(turn + LOOK_MS, last);
     Promise<Void> done = Promise.promise();
     loop.runOnContext(v -> {
+      stopping = true;
       vertx.setTimer(turn, t -> door.closeWhenAnswered());
       vertx.setTimer(end, t -> {
         door.refuse();
         pilot.leave();
       });
-      vertx.setTimer(end + LOOK_MS, t -> door.closeIdle());
       vertx.setPeriodic(LATE_MS, LOOK_MS, look -> {
+        if (door.isRefusing()) door.closeIdle(); // also those that came since the last look
         if (door.links() > 0) return;
         vertx.cancelTimer(look);
+        door.refuse(); // what comes while all is being closed is not sent on
         pilot.leave();
         done.complete();
       });
--- a/src/main/java/saltlatch/simhost/Reply.java
+++ b/src/main/java/saltlatch/simhost/Reply.java
@@ -129,11 +129,6 @@
       records.put(at + 4, (byte) (on ? 1 : 0));
     }
 
-    @Override
-    public void fetchList() {
-      next(257, inst);
-    }
-
     @Override
     public void tell(int peer, Told told) {
       int at = next(263, inst);
--- a/src/main/java/saltlatch/wire/AppLink.java
+++ b/src/main/java/saltlatch/wire/AppLink.java
@@ -45,10 +45,21 @@
       socket.handler(this::read);
       socket.exceptionHandler(e -> owner.counters().add(Count.CONNECTIONS_BROKEN));
       socket.closeHandler(v -> end(Answer.none(written ? Ending.BROKE_WRITTEN : Ending.BROKE_UNWRITTEN)));
-      write();
+      owner.desk().afterTurn(this::begin);
     });
   }
 
+  /**
+   * Guards against a dispatch that begins when what allowed it is past: its client gone, its app srv told to drain, its repeat
+   * window over. The asking tells the module all that came meanwhile, which may end this dispatch as well.
+   */
+  private void begin() {
+    boolean allowed = closed || x == null || owner.mayBegin(x, dispatch);
+    if (closed) return;
+    if (allowed) write();
+    else end(Answer.none(Ending.WITHDRAWN));
+  }
+
   void send(Buffer command, Exchange x, int dispatch, long cap) {
     this.x = x;
     this.dispatch = dispatch;
@@ -75,15 +86,19 @@
 
   private void read(Buffer more) {
     if (closed) return;
+    // Guards against half a line or a second answer on a resting connection, which the next dispatch's answer would follow.
+    if (!out) {
+      close();
+      return;
+    }
     in.feed(more);
     try {
       Resp resp = in.next();
       if (resp == null) {
         // Guards against an answer whose length is wrong, which would hold its req until the client timeout.
-        if (out && rest == null) rest = owner.desk().at(owner.desk().now() + owner.restTime(), () -> end(SPOILT));
+        if (rest == null) rest = owner.desk().at(owner.desk().now() + owner.restTime(), () -> end(SPOILT));
         return;
       }
-      if (!out) throw new RespReader.Lost("an answer that nothing asked for");
       // Guards against an answer that is taken for that of the next dispatch: what comes behind one was not asked for.
       Answer answer = x == null ? Answer.ofProbe(resp) : Answer.of(resp);
       if (in.isEmpty() && answer.ending() != Ending.SPOILT_ANSWER) finish(true, answer);
--- a/src/main/java/saltlatch/wire/AppServers.java
+++ b/src/main/java/saltlatch/wire/AppServers.java
@@ -23,6 +23,9 @@
     void ended(Exchange x, int dispatch, int srv, Answer answer, long spent);
 
     void probed(int srv, Answer answer, long spent);
+
+    /** Whether a dispatch whose connection has just come up may still begin. */
+    boolean mayBegin(Exchange x, int dispatch);
   }
 
   /** An app srv that the list names. */
@@ -139,6 +142,10 @@
     desk.at(desk.now() + SWEEP, this::sweep);
   }
 
+  boolean mayBegin(Exchange x, int dispatch) {
+    return host.mayBegin(x, dispatch);
+  }
+
   /** A connection comes up within this, so the rest of an answer that has begun does too. */
   long restTime() {
     return connectTime;
--- a/src/main/java/saltlatch/wire/ClientLink.java
+++ b/src/main/java/saltlatch/wire/ClientLink.java
@@ -11,6 +11,8 @@
 /** One client's connection. Commands are handed on as they come; answers go out in the order of the commands. */
 final class ClientLink {
   private static final int MOST_OWED = 64; // commands without answer on a connection before reading stops: 4 MB of answers
+  private static final long LINGER = 2_000; // 0.2 s: a client's end that crosses this side's has come by then
+  private static final int LINGER_BYTES = 128 * 1024; // of what crosses: two of the longest commands
 
   /** The place of one command's answer in the order. */
   private final class Place implements Exchange.Client {
@@ -58,6 +60,7 @@
   private boolean broken; // its framing is lost: nothing more is read
   private boolean closed;
   private boolean spoke;
+  private int crossed; // bytes that came after this side's end
   private long usedAt; // acceptance, the last whole command, or the first byte of the next one
 
   ClientLink(Door door, NetSocket socket) {
@@ -78,12 +81,29 @@
     return usedAt;
   }
 
+  /** At once: whatever is unread makes the system reset the connection, and the client sends that again elsewhere. */
   void close() {
     closed = true;
     door.gone(this);
     socket.close();
   }
 
+  /**
+   * Ends this side only, and reads on to throw away what crosses, within bounds. Guards against a close over unread bytes,
+   * with which the system resets the connection and the answers just written go.
+   */
+  private void linger() {
+    closed = true;
+    door.lingers(this);
+    door.desk().at(door.desk().now() + LINGER, socket::close);
+    socket.handler(more -> {
+      crossed += more.length();
+      if (crossed > LINGER_BYTES) socket.close();
+    });
+    socket.resume();
+    socket.write(Buffer.buffer()).onComplete(v -> Half.end(socket)); // behind the answers
+  }
+
   /** Ends it if it has sent no whole command, or half of one, since long before. */
   void closeIfMute(long since) {
     if (closed || usedAt > since || !owed.isEmpty() || spoke && in.isEmpty()) return;
@@ -94,7 +114,7 @@
   }
 
   void closeIfDone() {
-    if (!closed && owed.isEmpty()) close();
+    if (!closed && owed.isEmpty()) linger();
   }
 
   void abandon() {
@@ -117,7 +137,7 @@
       broken = true;
       say("-ERR Protocol error: " + e.getMessage());
     }
-    if (broken || owed.size() >= MOST_OWED) socket.pause();
+    if (!closed && (broken || owed.size() >= MOST_OWED)) socket.pause();
   }
 
   private void take(Resp command) throws RespReader.Lost {
@@ -161,10 +181,11 @@
     if (closed) return;
     while (!owed.isEmpty() && owed.peek().answer != null) socket.write(owed.poll().answer);
     resume();
-    if (owed.isEmpty() && (broken || door.isClosing())) close();
+    if (owed.isEmpty() && (broken || door.isClosing())) linger();
   }
 
   private void resume() {
+    if (closed) return;
     if (!broken && owed.size() < MOST_OWED && !socket.writeQueueFull()) socket.resume();
     else if (socket.writeQueueFull()) socket.pause();
   }
--- a/src/main/java/saltlatch/wire/Desk.java
+++ b/src/main/java/saltlatch/wire/Desk.java
@@ -7,4 +7,7 @@
   long now();
 
   Timers.Timer at(long when, Runnable then);
+
+  /** Once all that this turn of the loop brings is told, closes too. */
+  void afterTurn(Runnable then);
 }
--- a/src/main/java/saltlatch/wire/Door.java
+++ b/src/main/java/saltlatch/wire/Door.java
@@ -40,6 +40,7 @@
   private final Desk desk;
   private final Set<ClientLink> silent = new LinkedHashSet<>(); // no whole command yet, oldest first
   private final Set<ClientLink> known = new LinkedHashSet<>(); // the one that spoke last comes last
+  private final Set<ClientLink> ending = new LinkedHashSet<>(); // wait for their client's end, for an instant; oldest first
   private int open; // connections, those that are just ending too
   private boolean ready;
   private boolean closing;
@@ -103,7 +104,7 @@
     return closing;
   }
 
-  boolean isRefusing() {
+  public boolean isRefusing() {
     return refusing;
   }
 
@@ -139,6 +140,12 @@
   void gone(ClientLink link) {
     silent.remove(link);
     known.remove(link);
+    ending.remove(link);
+  }
+
+  void lingers(ClientLink link) {
+    gone(link);
+    ending.add(link);
   }
 
   /** Guards against connections that say nothing, or half a command and no more: they are owed an end within 3 s. */
@@ -148,11 +155,12 @@
   }
 
   /**
-   * Guards against clients crowded out by connections that say nothing, or that asked once and stay: first goes the one
-   * still for longest, if no client can count on it any more; then the oldest that has said nothing; then one that is idle
+   * Guards against clients crowded out by connections that say nothing, or that asked once and stay: first goes one that is
+   * ending anyway; then the one still for longest, if no client can count on it any more; then the oldest that has said nothing; then one that is idle
    * just now, whose client may ask again on a new connection.
    */
   private ClientLink leastNeeded() {
+    if (!ending.isEmpty()) return ending.iterator().next();
     ClientLink idle = known.stream().filter(ClientLink::owesNothing).findFirst().orElse(null);
     ClientLink mute = silent.isEmpty() ? null : silent.iterator().next();
     if (idle != null && idle.usedAt() <= desk.now() - MUTE) return idle;
@@ -161,7 +169,7 @@
 
   private void accept(NetSocket socket) {
     counters.add(Count.CLIENTS_ACCEPTED);
-    if (silent.size() + known.size() >= mostLinks) {
+    if (silent.size() + known.size() + ending.size() >= mostLinks) {
       counters.add(Count.CLIENTS_OVER_LIMIT);
       ClientLink least = leastNeeded();
       if (least == null) {
--- a/src/main/java/saltlatch/wire/Ending.java
+++ b/src/main/java/saltlatch/wire/Ending.java
@@ -15,6 +15,7 @@
   TIMED_OUT_UNWRITTEN(Outcome.NOT_CONNECTED),
   TIMED_OUT(Outcome.LATE),
   OWN_CANCEL(Outcome.CANCELLED),
+  WITHDRAWN(Outcome.WITHDRAWN), // its connection came up, but what had allowed it was past: no byte was written
   NO_DESCRIPTOR(Outcome.NOT_SENT); // every connection that this node may hold is in use
 
   private final Outcome outcome;
--- a/src/test/java/saltlatch/Trace.java
+++ b/src/test/java/saltlatch/Trace.java
@@ -205,11 +205,6 @@
     say("  -> follow " + on);
   }
 
-  @Override
-  public void fetchList() {
-    say("  -> fetch");
-  }
-
   @Override
   public void tell(int peer, Told told) {
     say("  -> tell " + peer + ", " + SumsForm.write(told).length + " bytes");
--- /dev/null
+++ b/src/test/java/saltlatch/node/CrossingTest.java
@@ -0,0 +1,201 @@
+package saltlatch.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import saltlatch.api.Event;
+
+/**
+ * Two events that cross, on real connections, in the bad order every time: the node's loop is held by the scripted module, or
+ * a listener's backlog is full, until both have happened.
+ */
+@Timeout(60)
+class CrossingTest extends NodeHarness {
+  private static final String PASSED = "*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n";
+
+  /** A backlog so full that the next connection's SYN stays unanswered until one is accepted. */
+  private Socket[] fill(ServerSocket backlog) throws IOException {
+    Socket[] all = new Socket[2];
+    for (int i = 0; i < all.length; i++) {
+      all[i] = new Socket("127.0.0.1", backlog.getLocalPort());
+      sockets.add(all[i]);
+    }
+    return all;
+  }
+
+  /** What the script holds the loop with, so that what comes meanwhile comes in one turn. */
+  private final class Hold {
+    final CountDownLatch begun = new CountDownLatch(1);
+    final CountDownLatch over = new CountDownLatch(1);
+
+    void hold() {
+      begun.countDown();
+      try {
+        assertTrue(over.await(20, TimeUnit.SECONDS));
+      } catch (InterruptedException e) {
+        throw new IllegalStateException(e);
+      }
+    }
+  }
+
+  /** The module is asked again before a dispatch whose connection came up later is written. */
+  @Test
+  void lateConnectionIsNotWrittenAgainstTheModule() throws Exception {
+    script = e -> {
+      if (e instanceof Event.Arrived) to.dispatch(rid(e), 0, 80_000);
+      if (e instanceof Event.Ended d && !d.over()) to.abort(d.rid());
+    };
+    permit = false;
+    Socket c = client();
+    say(c, req(0));
+    Socket s = accept(appSrv);
+    assertEquals("closed", line(s));
+    assertEquals("asked 0/0", asked.poll(20, TimeUnit.SECONDS));
+    assertEquals("arrived 0 waits 900 ended 0/0 WITHDRAWN", next() + " " + next());
+    assertEquals("-ERR aborted", line(c));
+  }
+
+  /** The client leaves while the connection comes up, and the settings know no cancelling: nothing is written. */
+  @Test
+  void clientLeavesBeforeTheConnectionIsUp() throws Exception {
+    Hold hold = new Hold();
+    script = e -> {
+      if (!(e instanceof Event.Arrived)) return;
+      to.dispatch(rid(e), 0, 80_000);
+      hold.hold();
+    };
+    Socket c = client();
+    say(c, req(0));
+    assertTrue(hold.begun.await(20, TimeUnit.SECONDS));
+    c.close();
+    hold.over.countDown();
+    assertEquals("closed", line(accept(appSrv)));
+    assertEquals("arrived 0 waits 900 left 0 ended 0/0 WITHDRAWN over", next() + " " + next() + " " + next());
+  }
+
+  /** A req that is read in the turn in which its client's close is seen comes to the module with the close. */
+  @Test
+  void closeSeenWithTheReqInFront() throws Exception {
+    Hold hold = new Hold();
+    script = e -> {
+      if (e instanceof Event.Arrived && rid(e) == 0) hold.hold();
+      if (e instanceof Event.Arrived) to.deny(rid(e), 0);
+    };
+    Socket first = client();
+    Socket second = usualConnection();
+    say(first, req(0));
+    assertTrue(hold.begun.await(20, TimeUnit.SECONDS));
+    say(second, req(1));
+    second.close();
+    hold.over.countDown();
+    assertEquals("-BUSY", line(first));
+    List<String> batch = batches.poll(20, TimeUnit.SECONDS);
+    while (batch != null && !batch.contains("arrived 1 waits 900")) batch = batches.poll(20, TimeUnit.SECONDS);
+    assertEquals(List.of("arrived 1 waits 900", "left 1"), batch);
+  }
+
+  /** A connection that the node has accepted: it has answered there. */
+  private Socket usualConnection() throws IOException {
+    Socket s = client();
+    say(s, "*1\r\n$4\r\nPING\r\n");
+    assertEquals("+PONG", line(s));
+    return s;
+  }
+
+  /** A client with so much owed that reading has stopped goes away, its close behind unread bytes. */
+  @Test
+  void closeBehindUnreadBytes() throws Exception {
+    Socket c = usualConnection();
+    StringBuilder many = new StringBuilder();
+    for (int i = 0; i < 64; i++) many.append(req(i));
+    say(c, many.toString());
+    for (int i = 0; i < 64; i++) assertEquals("arrived " + i + " waits 900", next());
+    say(c, req(64));
+    c.close();
+    assertEquals("left 0", next());
+  }
+
+  /** The same with a reset, and with a half close. */
+  @Test
+  void resetBehindUnreadBytes() throws Exception {
+    for (boolean reset : new boolean[] {true, false}) {
+      Socket c = usualConnection();
+      StringBuilder many = new StringBuilder();
+      for (int i = 0; i < 64; i++) many.append(req(i));
+      say(c, many.toString());
+      long first = -1;
+      for (int i = 0; i < 64; i++) {
+        String text = next();
+        assertTrue(text.startsWith("arrived"), text);
+        if (first < 0) first = Long.parseLong(text.split(" ")[1]);
+      }
+      say(c, req(64));
+      if (reset) c.setSoLinger(true, 0);
+      if (reset) c.close();
+      else c.shutdownOutput();
+      assertEquals("left " + first, next());
+      for (int i = 1; i < 64; i++) next();
+    }
+  }
+
+  /** Half a line, or a second answer, on a connection that rests ends it: it is not the next dispatch's answer. */
+  @Test
+  void bytesOnARestingConnection() throws Exception {
+    script = e -> {
+      if (e instanceof Event.Arrived) to.dispatch(rid(e), 0, 80_000);
+      if (e instanceof Event.Ended d && !d.over()) to.abort(d.rid());
+    };
+    Socket c = client();
+    String[] strays = {"*3\r\n$2\r\nxx", PASSED};
+    for (int i = 0; i < strays.length; i++) {
+      say(c, req(2 * i));
+      Socket s = accept(appSrv);
+      lines(s, 9);
+      say(s, PASSED);
+      assertEquals("$2 hi", lines(c, 2));
+      say(s, strays[i]);
+      assertEquals("closed", line(s));
+      say(c, req(2 * i + 1));
+      s = accept(appSrv);
+      lines(s, 9);
+      say(s, PASSED);
+      assertEquals("$2 hi", lines(c, 2));
+      s.close();
+      while (!info(c).contains("connections_opened=" + (2 * i + 2))) Thread.onSpinWait();
+    }
+  }
+
+  /** What comes behind broken framing is thrown away, and the error arrives: no reset takes it along. */
+  @Test
+  void errorArrivesThoughMoreWasSent() throws Exception {
+    script = e -> to.deny(rid(e), 0);
+    Hold hold = new Hold();
+    Socket c = usualConnection();
+    Socket other = usualConnection();
+    script = e -> {
+      if (rid(e) == 0) hold.hold();
+      to.deny(rid(e), 0);
+    };
+    say(other, req(0));
+    assertTrue(hold.begun.await(20, TimeUnit.SECONDS));
+    say(c, req(1) + "nonsense\r\n" + "x".repeat(60_000));
+    hold.over.countDown();
+    assertEquals("-ERR Protocol error: no RESP2 value -BUSY".split(" -BUSY")[0], errorAfter(c));
+    say(c, "y".repeat(20_000)); // to a connection that was reset this fails, and what had come is gone
+    assertEquals("closed", line(c));
+  }
+
+  /** Its first line is the denial of the req in front, its second the error. */
+  private static String errorAfter(Socket c) throws IOException {
+    assertEquals("-BUSY", line(c));
+    return line(c);
+  }
+}
--- a/src/test/java/saltlatch/node/NodeTest.java
+++ b/src/test/java/saltlatch/node/NodeTest.java
@@ -5,178 +5,24 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.PrintStream;
 import java.net.DatagramPacket;
-import java.net.DatagramSocket;
-import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
-import saltlatch.api.Actions;
 import saltlatch.api.Event;
 import saltlatch.api.Told;
 import sun.misc.Signal;
 
-/**
- * A whole node on loopback sockets, with a scripted module in it. The test's own thread is the client, the app srv,
- * the counter and discovery, each in its turn, so that nothing races.
- */
+/** What a node does on its sockets, one thing at a time. */
 @Timeout(60)
-class NodeTest {
-  private final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
-  private final List<Socket> sockets = new ArrayList<>();
-  private ServerSocket appSrv;
-  private ServerSocket counter;
-  private ServerSocket discovery;
-  private DatagramSocket peer;
-  private Serve node;
-  private volatile Actions to;
-  private boolean stopped;
-  private volatile Consumer<Event> script = e -> { };
-
-  @BeforeEach
-  void start() throws Exception {
-    appSrv = listen();
-    counter = listen();
-    discovery = listen();
-    peer = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
-    node = new Serve(Station.of(config()));
-    node.start((now, site, out) -> {
-      to = out;
-      return (at, events) -> events.forEach(e -> {
-        seen.add(text(e));
-        script.accept(e);
-      });
-    }).toCompletionStage().toCompletableFuture().get();
-    assertEquals("listed CACHED [0 READY]", next());
-  }
-
-  @AfterEach
-  void end() throws Exception {
-    for (Socket s : sockets) s.close();
-    appSrv.close();
-    counter.close();
-    discovery.close();
-    peer.close();
-    if (!stopped) node.stop().toCompletionStage().toCompletableFuture().get();
-  }
-
-  private String config() throws IOException {
-    return Files.readString(Path.of("deploy/sample.json"))
-        .replace("\"countLimit\":30", "\"countLimit\":1000").replace("\"connectTimeout\":250", "\"connectTimeout\":5000")
-        .replace("\"listen\":\"127.0.0.1:16379\"", "\"listen\":\"127.0.0.1:0\"")
-        .replace("\"peer_listen\":\"127.0.0.1:16379\"", "\"peer_listen\":\"127.0.0.1:0\"")
-        .replace("\"peers\":[\"127.0.0.1:16379\"]", "\"peers\":[\"127.0.0.1:" + peer.getLocalPort() + "\"]")
-        .replace("\"discovery\":\"127.0.0.1:16379\"", "\"discovery\":\"127.0.0.1:" + discovery.getLocalPort() + "\"")
-        .replace("\"counter\":\"127.0.0.1:16379\"", "\"counter\":\"127.0.0.1:" + counter.getLocalPort() + "\"")
-        .replace("\"address\":\"127.0.0.1:16379\"", "\"address\":\"127.0.0.1:" + appSrv.getLocalPort() + "\"");
-  }
-
-  private static String text(Event e) {
-    if (e instanceof Event.Arrived a) return "arrived " + a.rid() + " waits " + a.left() / 10;
-    if (e instanceof Event.Ended d) return "ended " + d.rid() + "/" + d.dispatch() + " " + d.how() + (d.over() ? " over" : "");
-    if (e instanceof Event.Counted c) return "counted " + c.name() + " " + c.how() + " " + c.total();
-    if (e instanceof Event.ClientLeft c) return "left " + c.rid();
-    if (e instanceof Event.Probed p) return "probed " + p.how() + " " + p.load();
-    if (e instanceof Event.Listed l) {
-      return "listed " + l.kind() + " " + l.entries().stream().map(x -> x.srv() + " " + x.condition()).toList();
-    }
-    if (e instanceof Event.Heard h) return "heard " + h.from() + " " + h.told().sums();
-    return e.getClass().getSimpleName();
-  }
-
-  private String next() throws InterruptedException {
-    String text = seen.poll(20, TimeUnit.SECONDS);
-    return text == null ? "nothing" : text;
-  }
-
-  private static ServerSocket listen() throws IOException {
-    ServerSocket s = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-    s.setSoTimeout(20_000);
-    return s;
-  }
-
-  private Socket accept(ServerSocket at) throws IOException {
-    Socket s = at.accept();
-    s.setSoTimeout(20_000);
-    sockets.add(s);
-    return s;
-  }
-
-  private Socket client() throws IOException {
-    Socket s = new Socket("127.0.0.1", node.port());
-    s.setSoTimeout(20_000);
-    sockets.add(s);
-    return s;
-  }
-
-  /** A client that has been answered, as all are from now on: come again. */
-  private Socket usual() throws IOException {
-    script = e -> to.deny(rid(e), 0);
-    Socket s = client();
-    say(s, req(0));
-    assertEquals("-BUSY", line(s));
-    return s;
-  }
-
-  private static void say(Socket s, String text) throws IOException {
-    s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-  }
-
-  /** The beginning of a chunked answer. */
-  private static void stream(Socket s, String body) throws IOException {
-    String chunk = Integer.toHexString(body.length()) + "\r\n" + body + "\r\n";
-    say(s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk);
-  }
-
-  /** A line without its end; the end of the stream is "closed". */
-  private static String line(Socket s) throws IOException {
-    ByteArrayOutputStream out = new ByteArrayOutputStream();
-    InputStream in = s.getInputStream();
-    for (int b = in.read(); b != '\n'; b = in.read()) {
-      if (b < 0) return "closed";
-      if (b != '\r') out.write(b);
-    }
-    return out.toString(StandardCharsets.ISO_8859_1);
-  }
-
-  private static String lines(Socket s, int count) throws IOException {
-    List<String> all = new ArrayList<>();
-    for (int i = 0; i < count; i++) all.add(line(s));
-    return String.join(" ", all);
-  }
-
-  private static List<String> info(Socket c) throws IOException {
-    say(c, "*1\r\n$4\r\nINFO\r\n");
-    List<String> figures = new ArrayList<>();
-    for (String line = line(c); !line.startsWith("held="); line = line(c)) figures.add(line);
-    line(c);
-    return figures;
-  }
-
-  private static String req(int id) {
-    return "*4\r\n$9\r\nSVC.QUERY\r\n$16\r\n0000000000000007\r\n$2\r\n" + (10 + id)
-        + "\r\n$39\r\nc=read,t=plan,d=900,units=1,spread=1,n=\r\n";
-  }
-
-  private static long rid(Event e) {
-    return ((Event.Arrived) e).rid();
-  }
-
+class NodeTest extends NodeHarness {
   /** Commands behind one another are decided at once and answered in their order. */
   @Test
   void answersInOrder() throws Exception {
--- a/src/test/java/saltlatch/wire/WireTest.java
+++ b/src/test/java/saltlatch/wire/WireTest.java
@@ -126,6 +126,7 @@
         TIMED_OUT_UNWRITTEN never ran
         TIMED_OUT may have run
         OWN_CANCEL may have run
+        WITHDRAWN never ran
         NO_DESCRIPTOR never ran
         """, seen.toString());
   }
