Connections close at once where nobody takes what is written; malformed lists are asked for again

Seen: a client that sent 28 MB of INFO and read nothing kept this node from ending at all, and its descriptor after it was ended for another's sake: Vert.x closes a connection behind all that waits to be written. The same lines (AppLink.close) let a command given up while half of it was written, and told as never begun, still come whole to its app srv (ClosingTest: 60 KB over segments of 128 bytes). Change: Closing.atOnce ends the channel. What crosses this side's end of a connection stays unread, so that its client knows it was not taken; commands read together are all answered in front of the end (a PING in front of a req ended the connection before). A list with an unusable address was half taken, outside any catch, and one that made no sense was passed over, its changes lost for good: both end the watch now, and the next asks from the last list that was read. NodeTest's old check (the rest of that watch is used) is replaced by one that wants all of it told again. SIGHUP before the node was there ended the process or failed on a null discovery and was lost: Hangups holds it. A configuration's failure names its key.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -448,7 +448,7 @@
     return s.coldLeft >= 1;
   }
 
-  /** It has just started, or is heard of so: this node begins anywhere in the way to its first dispatch there. */
+  /** It has just started, or is heard of so: this node begins anywhere on the way to its first dispatch. */
   private void chill(Srv s) {
     s.coldLeft = chance.nextDouble();
     s.coldAt = now;
--- a/src/main/java/saltlatch/node/Pilot.java
+++ b/src/main/java/saltlatch/node/Pilot.java
@@ -315,7 +315,7 @@
       int srv = srvs.number(t.name());
       named.add(srv);
       leaving.remove((Integer) srv);
-      if (!t.address().isEmpty()) appServers.locate(srv, Station.address(t.address()));
+      if (t.address() != null) appServers.locate(srv, t.address());
       if (t.condition() == Event.Condition.GONE) leaving.add(srv);
       entries.add(new Event.Entry(srv, t.sinceMs() * 10, Math.max(0, zones.find(t.zone())), t.group(),
           t.condition(), t.weight(), Math.max(0, types.find(t.type()))));
--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -21,7 +21,6 @@
 import saltlatch.state.Counters;
 import saltlatch.state.Counters.Count;
 import saltlatch.wire.Door;
-import sun.misc.Signal;
 
 /** Start and stop of one edge node. */
 public final class Serve {
@@ -33,13 +32,14 @@
   private static final long KILL_MS = 700; // is no more, and so much on top after SIGTERM
   private static final long EXIT_MS = 400; // kept of that for the JVM's own end, on part of a core
 
-  private final Vertx vertx;
-  private final Context loop;
+  final Vertx vertx;
+  final Context loop;
   private final Station station;
   private final Counters counters = new Counters();
   private final Pilot pilot;
   private final Door door;
   private final History history; // null: the configuration names no directory for it
+  private final Promise<Void> begun = Promise.promise(); // what a new configuration changes is there
   private boolean stopping;
 
   Serve(Station station) {
@@ -60,6 +60,7 @@
 
   /** Returns a code to end with, or 0 once the node serves. */
   public static int run(Gateway.Maker maker, String path, PrintStream err) {
+    Hangups hangups = new Hangups();
     Serve serve;
     try {
       serve = new Serve(Station.of(Files.readString(Path.of(path))));
@@ -67,7 +68,7 @@
       err.println("saltlatch serve: configuration " + path + ": " + e);
       return 2;
     }
-    serve.rereadOnHangup(Path.of(path));
+    serve.rereadOn(hangups, Path.of(path));
     // Before the node is ready: whoever sees it ready may end it in the same instant.
     Runtime.getRuntime().addShutdownHook(new Thread(serve::terminate));
     try {
@@ -137,6 +138,7 @@
       try {
         if (stopping) throw new IllegalStateException("told to end before it was ready");
         pilot.start(maker);
+        begun.complete();
       } catch (RuntimeException e) {
         open.fail(e);
         return;
@@ -153,13 +155,13 @@
     return open.future();
   }
 
-  /** SIGHUP would end the process; here it has the configuration read again, and a bad one leaves all as it is. */
-  void rereadOnHangup(Path path) { // the JDK has no other way to handle a signal
-    Signal.handle(new Signal("HUP"), signal -> loop.runOnContext(v ->
-        vertx.executeBlocking(() -> Station.of(Files.readString(path))).onSuccess(pilot::move).onFailure(e -> {
+  /** SIGHUP has the configuration read again, and a bad one leaves all as it is. */
+  void rereadOn(Hangups hangups, Path path) {
+    hangups.then(() -> loop.runOnContext(v ->
+        vertx.executeBlocking(() -> Station.of(Files.readString(path))).onFailure(e -> {
           counters.add(Count.RELOADS_FAILED);
           LOG.warn("configuration {} can't be used, the old one stays: {}", path, e.toString());
-        })));
+        }).onSuccess(to -> begun.future().onSuccess(b -> pilot.move(to))))); // one that comes early waits for the start
   }
 
   int port() {
--- a/src/main/java/saltlatch/node/Station.java
+++ b/src/main/java/saltlatch/node/Station.java
@@ -1,20 +1,23 @@
 package saltlatch.node;
 
-import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import io.vertx.core.net.SocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Function;
 import saltlatch.api.Site;
 import saltlatch.simhost.Reader;
+import saltlatch.wire.Dial;
 import saltlatch.wire.Request;
 import saltlatch.wire.TargetList;
 
 /** Where this node stands and what it may use, decoded once from its configuration. Times are tenths of a ms. */
 record Station(String name, SocketAddress listen, SocketAddress discovery, SocketAddress counter,
-    SocketAddress peerListen, List<SocketAddress> peers, SocketAddress peersAll, Path history, boolean membership, int memoryMb, int descriptors,
+    SocketAddress peerListen, List<SocketAddress> peers, SocketAddress peersAll, Path history, boolean membership,
+    int memoryMb, int descriptors,
     long connectTime, long idleTime, long countLimit, boolean mayTell, double mostUnits,
     List<String> loadFields, List<String> frontends,
     List<String> plans, List<String> zones, List<String> types, TargetList known, Site site) {
@@ -41,61 +44,63 @@
 
   static Station of(String text) {
     JsonObject all = JsonParser.parseString(text).getAsJsonObject();
-    JsonObject settings = all.getAsJsonObject("settings");
-    JsonObject use = settings.getAsJsonObject("limits");
-    JsonObject limits = all.getAsJsonObject("limits");
-    for (String key : List.of("listen", "discovery")) {
+    for (String key : List.of("name", "seed", "listen", "discovery", "settings", "limits", "known")) {
       if (!all.has(key)) throw new IllegalArgumentException(key + " is missing");
     }
-    int descriptors = limits.get("sockets").getAsInt();
+    JsonObject settings = Reader.part(all, "settings");
+    JsonObject use = Reader.part(settings, "limits");
+    JsonObject limits = Reader.part(all, "limits");
+    int descriptors = Reader.typed(limits, "sockets", "number", JsonElement::getAsInt);
     if (descriptors < LEAST_DESCRIPTORS) throw new IllegalArgumentException("limits.sockets " + descriptors + " below "
         + LEAST_DESCRIPTORS);
-    List<SocketAddress> peers = words(all, "peers").stream().map(Station::address).toList();
+    List<SocketAddress> peers = words(all, "peers").stream().map(Dial::address).toList();
     boolean membership = Reader.flag(all, "membership");
-    Site site = Reader.site(settings, Long.parseUnsignedLong(all.get("seed").getAsString(), 16));
+    long seed = Reader.typed(all, "seed", "hexadecimal number", e -> Long.parseUnsignedLong(e.getAsString(), 16));
+    Site site = Reader.site(settings, seed);
     if (membership && (site.peers().intake() <= 0 || peers.size() != site.nodes() || !all.has("peer_listen"))) {
       throw new IllegalArgumentException("membership wants peer_listen, an address in peers for each of the "
           + site.nodes() + " nodes, and mayTell with peerInPerS above 0");
     }
-    return new Station(all.get("name").getAsString(), address(all, "listen"), address(all, "discovery"),
+    return new Station(Reader.word(all, "name"), address(all, "listen"), address(all, "discovery"),
         address(all, "counter"), address(all, "peer_listen"), peers, address(all, "peers_all"),
         all.has("history") ? Path.of(all.get("history").getAsString()) : null,
-        membership, limits.get("memory_mb").getAsInt(), descriptors,
+        membership, Reader.typed(limits, "memory_mb", "number", JsonElement::getAsInt), descriptors,
         time(use, "connectTimeout"), time(use, "connIdle"), time(Reader.part(settings, "familyInfo"), "countLimit"),
         Reader.flag(use, "mayTell"), most(Reader.part(settings, "familyInfo"), "unitsTop"),
         words(Reader.part(settings, "report"), "fields"),
-        names(settings.getAsJsonArray("categories")), names(settings.getAsJsonArray("contracts")),
+        names(settings, "categories"), names(settings, "contracts"),
         words(settings, "azs"), words(settings, "machineTypes"),
-        TargetList.of(all.getAsJsonObject("known")),
+        Reader.typed(all, "known", "list of app servers", e -> TargetList.of(e.getAsJsonObject())),
         site);
   }
 
   private static long time(JsonObject from, String key) {
-    return from.has(key) ? Math.round(from.get(key).getAsDouble() * 10) : 0;
+    return from.has(key) ? Math.round(Reader.typed(from, key, "number", JsonElement::getAsDouble) * 10) : 0;
   }
 
   private static double most(JsonObject from, String key) {
-    return from.has(key) ? from.get(key).getAsDouble() : Double.MAX_VALUE;
+    return from.has(key) ? Reader.typed(from, key, "number", JsonElement::getAsDouble) : Double.MAX_VALUE;
   }
 
-  private static List<String> names(JsonArray from) {
-    List<String> names = new ArrayList<>();
-    if (from != null) from.forEach(e -> names.add(e.getAsJsonObject().get("name").getAsString()));
-    return names;
+  private static List<String> names(JsonObject from, String key) {
+    return all(from, key, e -> Reader.typed(e.getAsJsonObject(), "name", "word", JsonElement::getAsString));
   }
 
   private static List<String> words(JsonObject from, String key) {
-    List<String> words = new ArrayList<>();
-    if (from.has(key)) from.getAsJsonArray(key).forEach(e -> words.add(e.getAsString()));
-    return words;
+    return all(from, key, JsonElement::getAsString);
   }
 
-  private static SocketAddress address(JsonObject from, String key) {
-    return from.has(key) && !from.get(key).isJsonNull() ? address(from.get(key).getAsString()) : null;
+  private static List<String> all(JsonObject from, String key, Function<JsonElement, String> each) {
+    List<String> all = new ArrayList<>();
+    if (from.has(key)) Reader.typed(from, key, "list", e -> {
+      e.getAsJsonArray().forEach(one -> all.add(each.apply(one)));
+      return all;
+    });
+    return all;
   }
 
-  static SocketAddress address(String text) {
-    int colon = text.lastIndexOf(':');
-    return SocketAddress.inetSocketAddress(Integer.parseInt(text.substring(colon + 1)), text.substring(0, colon));
+  private static SocketAddress address(JsonObject from, String key) {
+    if (!from.has(key) || from.get(key).isJsonNull()) return null;
+    return Reader.typed(from, key, "address", e -> Dial.address(e.getAsString()));
   }
 }
--- a/src/main/java/saltlatch/rules/RuleSet.java
+++ b/src/main/java/saltlatch/rules/RuleSet.java
@@ -15,7 +15,8 @@
  * {@code heldOut}, {@code customers}, {@code sendCap}) that no later version of the same epoch tightens.
  */
 public record RuleSet(Version version, Map<String, Site.Plan> plans, Map<String, Site.Frontend> frontends, Limits limits,
-    SortedSet<String> heldOut, SortedSet<Long> barred, SortedSet<Long> exempt, SortedSet<String> roster, SortedSet<String> pins, Expired expired) {
+    SortedSet<String> heldOut, SortedSet<Long> barred, SortedSet<Long> exempt, SortedSet<String> roster, SortedSet<String> pins,
+    Expired expired) {
 
   /** {@code sendCap}: dispatches of a req at most; {@code longestPause}: the most that a client is told to wait. */
   public record Limits(int sendCap, long longestPause) {}
--- a/src/main/java/saltlatch/simhost/Reader.java
+++ b/src/main/java/saltlatch/simhost/Reader.java
@@ -5,6 +5,7 @@
 import com.google.gson.JsonParser;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Function;
 import saltlatch.api.Site;
 
 /** Decodes the settings, which the simulator's first message and a node's configuration hold; unknown keys are skipped. */
@@ -20,15 +21,13 @@
     JsonObject guard = part(all, "contract");
     JsonObject family = part(all, "familyInfo");
     List<Site.Frontend> frontends = new ArrayList<>();
-    for (JsonElement e : all.getAsJsonArray("categories")) {
-      JsonObject c = e.getAsJsonObject();
+    for (JsonObject c : objects(all, "categories")) {
       frontends.add(new Site.Frontend(effect(word(c, "effect")), group(word(c, "keyScope")),
           time(c, "window"), time(c, "aim"), time(c, "deadline"), number(c, "importance")));
     }
     List<Site.Plan> plans = new ArrayList<>();
     if (all.has("contracts")) {
-      for (JsonElement e : all.getAsJsonArray("contracts")) {
-        JsonObject c = e.getAsJsonObject();
+      for (JsonObject c : objects(all, "contracts")) {
         plans.add(new Site.Plan(number(c, "refill"), number(c, "peakUnits"), (int) number(c, "parallel"),
             number(c, "capRate"), number(c, "hardBurst"), number(c, "pays")));
       }
@@ -60,11 +59,11 @@
   }
 
   public static JsonObject part(JsonObject from, String key) {
-    return from.has(key) ? from.getAsJsonObject(key) : new JsonObject();
+    return from.has(key) ? typed(from, key, "object", JsonElement::getAsJsonObject) : new JsonObject();
   }
 
   private static double number(JsonObject from, String key) {
-    return from.has(key) && !from.get(key).isJsonNull() ? from.get(key).getAsDouble() : 0;
+    return from.has(key) && !from.get(key).isJsonNull() ? typed(from, key, "number", JsonElement::getAsDouble) : 0;
   }
 
   private static long time(JsonObject from, String key) {
@@ -72,10 +71,28 @@
   }
 
   public static boolean flag(JsonObject from, String key) {
-    return from.has(key) && from.get(key).getAsBoolean();
+    return from.has(key) && typed(from, key, "boolean", JsonElement::getAsBoolean);
   }
 
-  private static String word(JsonObject from, String key) {
-    return from.has(key) ? from.get(key).getAsString() : "";
+  public static String word(JsonObject from, String key) {
+    return from.has(key) ? typed(from, key, "word", JsonElement::getAsString) : "";
+  }
+
+  private static List<JsonObject> objects(JsonObject from, String key) {
+    List<JsonObject> all = new ArrayList<>();
+    return typed(from, key, "list of objects", e -> {
+      e.getAsJsonArray().forEach(one -> all.add(one.getAsJsonObject()));
+      return all;
+    });
+  }
+
+  /** What must be there, of one type; a failure names the key. */
+  public static <T> T typed(JsonObject from, String key, String type, Function<JsonElement, T> as) {
+    if (!from.has(key)) throw new IllegalArgumentException(key + " is missing");
+    try {
+      return as.apply(from.get(key));
+    } catch (RuntimeException e) {
+      throw new IllegalArgumentException(key + " is no " + type);
+    }
   }
 }
--- a/src/main/java/saltlatch/wire/AppLink.java
+++ b/src/main/java/saltlatch/wire/AppLink.java
@@ -39,7 +39,7 @@
       }
       socket = done.result();
       if (closed) {
-        socket.close();
+        Closing.atOnce(socket);
         return;
       }
       socket.handler(this::read);
@@ -118,7 +118,7 @@
   void close() {
     if (closed) return;
     closed = true;
-    if (socket != null) socket.close();
+    if (socket != null) Closing.atOnce(socket);
     owner.gone(this);
   }
 
--- a/src/main/java/saltlatch/wire/ClientLink.java
+++ b/src/main/java/saltlatch/wire/ClientLink.java
@@ -12,6 +12,7 @@
 final class ClientLink {
   private static final int MOST_OWED = 64; // commands without answer on a connection before reading stops: 4 MB of answers
   private static final long LINGER = 2_000; // 0.2 s: a client's end that crosses this side's has come by then
+  private static final long UNTAKEN = 20_000; // 2 s: a client that has not taken its answers by then takes none
   private static final int LINGER_BYTES = 128 * 1024; // of what crosses: two of the longest commands
 
   /** The place of one command's answer in the order. */
@@ -59,6 +60,7 @@
   private final ArrayDeque<Place> owed = new ArrayDeque<>();
   private boolean broken; // its framing is lost: nothing more is read
   private boolean closed;
+  private boolean reading; // what came is being taken, command by command
   private boolean spoke;
   private int crossed; // bytes that came after this side's end
   private long usedAt; // acceptance, the last whole command, or the first byte of the next one
@@ -85,23 +87,32 @@
   void close() {
     closed = true;
     door.gone(this);
-    socket.close();
+    Closing.atOnce(socket);
   }
 
   /**
-   * Ends this side only, and reads on to throw away what crosses, within bounds. Guards against a close over unread bytes,
-   * with which the system resets the connection and the answers just written go.
+   * Ends this side only, and waits within bounds for the client's end. Guards against a close over unread bytes, with which the
+   * system resets the connection and the answers just written go. What crosses stays unread, so that its client knows that it
+   * was not taken; behind broken framing it is read and thrown away, since a client in the middle of it would not look up.
    */
   private void linger() {
     closed = true;
     door.lingers(this);
-    door.desk().at(door.desk().now() + LINGER, socket::close);
+    endsWithin(door.isRefusing() ? LINGER : UNTAKEN);
     socket.handler(more -> {
       crossed += more.length();
-      if (crossed > LINGER_BYTES) socket.close();
+      if (crossed > LINGER_BYTES) Closing.atOnce(socket);
     });
-    socket.resume();
-    socket.write(Buffer.buffer()).onComplete(v -> Half.end(socket)); // behind the answers
+    if (broken) socket.resume();
+    else socket.pause();
+    socket.write(Buffer.buffer()).onComplete(v -> { // behind the answers
+      Closing.ownSide(socket);
+      endsWithin(LINGER);
+    });
+  }
+
+  private void endsWithin(long time) {
+    door.desk().at(door.desk().now() + time, () -> Closing.atOnce(socket));
   }
 
   /** Ends it if it has sent no whole command, or half of one, since long before. */
@@ -125,8 +136,9 @@
     if (broken || closed) return;
     if (in.isEmpty()) usedAt = door.desk().now();
     in.feed(more);
+    reading = true;
     try {
-      for (Resp command = in.next(); command != null && !closed; command = in.next()) {
+      for (Resp command = in.next(); command != null; command = in.next()) {
         usedAt = door.desk().now();
         spoke = true;
         door.spoke(this);
@@ -137,7 +149,9 @@
       broken = true;
       say("-ERR Protocol error: " + e.getMessage());
     }
-    if (!closed && (broken || owed.size() >= MOST_OWED)) socket.pause();
+    reading = false;
+    if (broken || owed.size() >= MOST_OWED) socket.pause();
+    endIfDue();
   }
 
   private void take(Resp command) throws RespReader.Lost {
@@ -181,7 +195,13 @@
     if (closed) return;
     while (!owed.isEmpty() && owed.peek().answer != null) socket.write(owed.poll().answer);
     resume();
-    if (owed.isEmpty() && (broken || door.isClosing())) linger();
+    endIfDue();
+  }
+
+  /** Guards, while this node ends, against commands that were read with the one just answered: they get their answers too. */
+  private void endIfDue() {
+    if (closed || reading || !owed.isEmpty()) return;
+    if (broken || door.isClosing() && in.isEmpty()) linger();
   }
 
   private void resume() {
--- /dev/null
+++ b/src/main/java/saltlatch/wire/Closing.java
@@ -0,0 +1,30 @@
+package saltlatch.wire;
+
+import io.netty.channel.Channel;
+import io.netty.channel.socket.DuplexChannel;
+import io.vertx.core.internal.net.NetSocketInternal;
+import io.vertx.core.net.NetSocket;
+
+/** Two ways to close a connection that Vert.x does not offer: its close waits until all that was written has been taken. */
+final class Closing {
+  private Closing() {}
+
+  /** Ends this side alone. */
+  static void ownSide(NetSocket socket) {
+    Channel channel = channel(socket);
+    if (channel instanceof DuplexChannel both && channel.isActive()) both.shutdownOutput();
+    else channel.close();
+  }
+
+  /**
+   * Guards against another side that takes nothing: its connection would stay, and what waits to be written would still come
+   * whole to an app srv whose dispatch was given up, or told as never begun.
+   */
+  static void atOnce(NetSocket socket) {
+    channel(socket).close();
+  }
+
+  private static Channel channel(NetSocket socket) {
+    return ((NetSocketInternal) socket).channelHandlerContext().channel();
+  }
+}
--- a/src/main/java/saltlatch/wire/CounterClient.java
+++ b/src/main/java/saltlatch/wire/CounterClient.java
@@ -112,7 +112,7 @@
         counters.add(Count.COUNTER_OPENED);
         socket = done.result();
         if (closed) {
-          socket.close();
+          Closing.atOnce(socket);
           return;
         }
         socket.handler(this::read);
@@ -211,7 +211,7 @@
       if (closed) return;
       closed = true;
       if (links[at] == this) links[at] = null;
-      if (socket != null) socket.close();
+      if (socket != null) Closing.atOnce(socket);
       for (Call c : calls) tell(c, c.written ? Ending.BROKE_WRITTEN : Ending.CONNECT_FAILED, 0);
       if (after == null) return;
       after.before = null;
--- a/src/main/java/saltlatch/wire/Discovery.java
+++ b/src/main/java/saltlatch/wire/Discovery.java
@@ -111,19 +111,21 @@
     response.handler(more -> {
       if (mine != turn) return;
       // Guards against a line that never ends: only what is whole says that the watch is well.
-      boolean whole = lists.feed(more, this::take);
-      if (whole) expect(mine, SILENT);
+      boolean whole = lists.feed(more, text -> take(text, mine));
+      if (whole && mine == turn) expect(mine, SILENT);
       if (lists.isTooLong()) broke(mine, new IllegalStateException("a list without end"));
     });
   }
 
-  private void take(String text) {
+  /** What can't be read is asked for again: the changes it held would never be told otherwise. */
+  private void take(String text, int mine) {
+    if (mine != turn) return;
     TargetList list;
     try {
       list = TargetList.of(text);
     } catch (RuntimeException e) {
       counters.add(Count.LISTS_MALFORMED);
-      LOG.warn("malformed list passed over: {}", e.toString());
+      broke(mine, e);
       return;
     }
     // Guards against an agent that is behind the one asked before (SIGHUP, a return): its list would turn drains back.
--- a/src/main/java/saltlatch/wire/Door.java
+++ b/src/main/java/saltlatch/wire/Door.java
@@ -156,8 +156,8 @@
 
   /**
    * Guards against clients crowded out by connections that say nothing, or that asked once and stay: first goes one that is
-   * ending anyway; then the one still for longest, if no client can count on it any more; then the oldest that has said nothing; then one that is idle
-   * just now, whose client may ask again on a new connection.
+   * ending anyway; then the one still for longest, if no client can count on it any more; then the oldest that has said
+   * nothing; then one that is idle just now, whose client may ask again on a new connection.
    */
   private ClientLink leastNeeded() {
     if (!ending.isEmpty()) return ending.iterator().next();
@@ -173,7 +173,7 @@
       counters.add(Count.CLIENTS_OVER_LIMIT);
       ClientLink least = leastNeeded();
       if (least == null) {
-        socket.close();
+        Closing.atOnce(socket);
         return;
       }
       least.close();
--- a/src/main/java/saltlatch/wire/TargetList.java
+++ b/src/main/java/saltlatch/wire/TargetList.java
@@ -3,15 +3,16 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
+import io.vertx.core.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import saltlatch.api.Event.Condition;
 
-/** One message of discovery, decoded once. */
+/** One message of discovery, decoded once; a target with no address is none to connect to. */
 public record TargetList(long index, boolean whole, List<Target> targets) {
-  public record Target(String name, String address, String zone, String type, int group, Condition condition, double weight,
-      long sinceMs) {}
+  public record Target(String name, SocketAddress address, String zone, String type, int group, Condition condition,
+      double weight, long sinceMs) {}
 
   static TargetList of(String line) {
     return of(JsonParser.parseString(line).getAsJsonObject());
@@ -21,8 +22,11 @@
     List<Target> targets = new ArrayList<>();
     for (JsonElement e : o.getAsJsonArray("endpoints")) {
       JsonObject t = e.getAsJsonObject();
-      targets.add(new Target(t.get("name").getAsString(), text(t, "address"), text(t, "zone"), text(t, "type"),
-          t.has("group") ? t.get("group").getAsInt() : 0, condition(t.get("status").getAsString()),
+      Condition condition = condition(t.get("status").getAsString());
+      String address = text(t, "address");
+      if (address.isEmpty() && condition == Condition.READY) throw new IllegalArgumentException("ready at no address");
+      targets.add(new Target(t.get("name").getAsString(), address.isEmpty() ? null : Dial.address(address),
+          text(t, "zone"), text(t, "type"), t.has("group") ? t.get("group").getAsInt() : 0, condition,
           t.has("weight") ? t.get("weight").getAsDouble() : 1,
           t.has("since_ms") ? t.get("since_ms").getAsLong() : 0));
     }
--- /dev/null
+++ b/src/test/java/saltlatch/node/ClosingTest.java
@@ -0,0 +1,141 @@
+package saltlatch.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.epoll.EpollIoHandler;
+import io.netty.channel.epoll.EpollServerSocketChannel;
+import io.netty.channel.unix.IntegerUnixChannelOption;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import saltlatch.api.Event;
+
+/** Closes on real connections whose other side does not take what is written, or writes in that very moment. */
+@Timeout(60)
+class ClosingTest extends NodeHarness {
+  private static final String LONG = "x".repeat(60_000);
+
+  private static String submit(int id) {
+    return req(id).replace("*4", "*5") + "$60000\r\n" + LONG + "\r\n";
+  }
+
+  /** A command given up while half of it is written never comes whole: it was told as never begun. */
+  @Test
+  void givenUpHalfWritten() throws Exception {
+    script = e -> {
+      if (e instanceof Event.Arrived) to.dispatch(rid(e), 0, 5_000);
+      if (e instanceof Event.Ended d && !d.over()) to.abort(d.rid());
+    };
+    int port = appSrv.getLocalPort();
+    appSrv.close();
+    try (Narrow srv = new Narrow(port)) {
+    Socket c = client();
+    say(c, submit(0));
+    assertEquals("arrived 0 waits 900", next());
+    assertEquals("ended 0/0 NOT_CONNECTED", next());
+    assertEquals("-ERR aborted", line(c));
+    int got = srv.readToEnd();
+    assertTrue(got < 60_000, got + " bytes");
+    }
+  }
+
+  /** Commands read in one piece while this node ends: a first answer at once does not end the connection in front of the rest. */
+  @Test
+  void commandsBehindOneAnsweredAtOnce() throws Exception {
+    script = e -> to.deny(rid(e), 0);
+    Socket c = client();
+    Socket idle = client();
+    say(idle, req(9));
+    assertEquals("-BUSY", line(idle));
+    var done = node.stop().toCompletionStage().toCompletableFuture();
+    String ping = "*1\r\n$4\r\nPING\r\n";
+    int asked = 0;
+    for (String got = "+PONG"; !got.equals("closed"); asked++) {
+      say(c, ping + req(2 * asked) + ping + req(2 * asked + 1));
+      got = line(c);
+      if (!got.equals("closed")) assertEquals("+PONG -BUSY +PONG -BUSY", got + " " + lines(c, 3));
+    }
+    assertTrue(asked > 1);
+    done.get();
+    stopped = true;
+  }
+
+  /** An app srv that reads nothing until asked, with segments so short that the node's system holds few bytes. */
+  private static final class Narrow implements AutoCloseable {
+    private final MultiThreadIoEventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, EpollIoHandler.newFactory());
+    private final AtomicInteger read = new AtomicInteger();
+    private final CompletableFuture<Channel> peer = new CompletableFuture<>();
+    private final CompletableFuture<Void> over = new CompletableFuture<>();
+
+    Narrow(int port) throws InterruptedException {
+      new ServerBootstrap().group(loop).channel(EpollServerSocketChannel.class)
+          .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_RCVBUF, 2_048)
+          .option(new IntegerUnixChannelOption("TCP_MAXSEG", 6, 2), 128)
+          .childOption(ChannelOption.AUTO_READ, false)
+          .childHandler(new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelActive(ChannelHandlerContext at) {
+              peer.complete(at.channel());
+            }
+
+            @Override
+            public void channelRead(ChannelHandlerContext at, Object bytes) {
+              read.addAndGet(((ByteBuf) bytes).readableBytes());
+              ((ByteBuf) bytes).release();
+            }
+
+            @Override
+            public void exceptionCaught(ChannelHandlerContext at, Throwable e) {
+              at.close();
+            }
+
+            @Override
+            public void channelInactive(ChannelHandlerContext at) {
+              over.complete(null);
+            }
+          }).bind("127.0.0.1", port).sync();
+    }
+
+    int readToEnd() throws Exception {
+      peer.get(20, TimeUnit.SECONDS).config().setAutoRead(true);
+      over.get(20, TimeUnit.SECONDS);
+      return read.get();
+    }
+
+    @Override
+    public void close() {
+      loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+  }
+
+  /** A client that takes no answers keeps neither a descriptor nor the end of this node. */
+  @Test
+  void clientThatReadsNothing() throws Exception {
+    try (SocketChannel c = SocketChannel.open(new InetSocketAddress("127.0.0.1", node.port()))) {
+      c.configureBlocking(false);
+      ByteBuffer many = ByteBuffer.wrap("*1\r\n$4\r\nINFO\r\n".repeat(2_000_000).getBytes(StandardCharsets.ISO_8859_1));
+      long since = System.nanoTime();
+      while (many.hasRemaining() && System.nanoTime() - since < 1_000_000_000L) {
+        if (c.write(many) > 0) since = System.nanoTime();
+      }
+      assertTrue(many.hasRemaining()); // the node reads no more
+      node.stop().toCompletionStage().toCompletableFuture().get(4, TimeUnit.SECONDS);
+      stopped = true;
+    }
+  }
+}
--- a/src/test/java/saltlatch/node/NodeTest.java
+++ b/src/test/java/saltlatch/node/NodeTest.java
@@ -13,6 +13,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -245,20 +247,22 @@
     assertTrue(figures.containsAll(List.of("reqs=5", "counted=5", "counts_answered=1", "counter_opened=1")), figures.toString());
   }
 
-  /** A watch that ends is taken up again from the version last told; a line that makes no sense is passed over. */
+  /** A watch that ends is taken up again from the version last told, as after a line that makes no sense. */
   @Test
   void discoveryComesAndGoes() throws Exception {
     Socket s = accept(discovery);
     assertEquals("GET /api/targets?follow=1&since=1 HTTP/1.1", line(s));
     String line = "{\"index\":7,\"snapshot\":false,\"endpoints\":[{\"name\":\"s-1\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\","
         + "\"type\":\"m\",\"group\":3,\"status\":\"Terminating\",\"weight\":1.0,\"since_ms\":0}]}\n";
-    String body = "\n{\"index\":\n" + line;
-    stream(s, body);
+    stream(s, "\n{\"index\":\n" + line);
+    s = accept(discovery);
+    assertEquals("GET /api/targets?follow=1&since=1 HTTP/1.1", line(s));
+    stream(s, "\n" + line);
     assertEquals("listed CHANGES [1 DRAINING]", next());
     s.close();
     s = accept(discovery);
     assertEquals("GET /api/targets?follow=1&since=7 HTTP/1.1", line(s));
-    body = line.replace("false", "true").replace("Terminating", "Ready").replace("s-1", "s-2").replace("7", "8");
+    String body = line.replace("false", "true").replace("Terminating", "Ready").replace("s-1", "s-2").replace("7", "8");
     stream(s, body);
     assertEquals("listed WHOLE [2 READY]", next());
   }
@@ -270,7 +274,7 @@
       if (e instanceof Event.Arrived) to.count(255, 1, 40_000, 0);
     };
     Path path = dir.resolve("config.json");
-    node.rereadOnHangup(path);
+    node.rereadOn(new Hangups(), path);
     Socket oldWatch = accept(discovery);
     Socket c = client();
     say(c, req(0));
@@ -300,6 +304,27 @@
     wasDiscovery.close();
   }
 
+  /** One that comes before there is a node is not lost, and ends nothing. */
+  @Test
+  void hangupBeforeTheStart(@TempDir Path dir) throws Exception {
+    Path path = Files.writeString(dir.resolve("config.json"), config());
+    Serve early = new Serve(Station.of(config()));
+    ServerSocket was = discovery;
+    discovery = listen();
+    Files.writeString(path, config());
+    Hangups hangups = new Hangups();
+    Signal.raise(new Signal("HUP"));
+    while (!hangups.waits()) Thread.onSpinWait();
+    early.rereadOn(hangups, path);
+    CountDownLatch read = new CountDownLatch(1); // the file, and what it says was handed over
+    early.loop.runOnContext(v -> early.vertx.executeBlocking(() -> 0).onSuccess(x -> read.countDown()));
+    assertTrue(read.await(20, TimeUnit.SECONDS));
+    early.start((now, site, out) -> (at, events) -> { }).toCompletionStage().toCompletableFuture().get();
+    assertEquals("GET /api/targets?follow=1&since=1 HTTP/1.1", line(accept(discovery)));
+    was.close();
+    early.stop().toCompletionStage().toCompletableFuture().get();
+  }
+
   /** A probe asks for the load, and tells it under the settings' names. */
   @Test
   void probes() throws Exception {
@@ -370,6 +395,15 @@
   @Test
   void badConfiguration(@TempDir Path dir) throws IOException {
     ByteArrayOutputStream err = new ByteArrayOutputStream();
+    String[] keys = {"name", "seed", "listen", "discovery", "settings", "limits", "known", "sockets", "memory_mb", "categories",
+        "peers", "counter", "connIdle", "aim", "refill", "cancelling", "effect"};
+    for (String key : keys) {
+      String wrong = config().replaceFirst("\"" + key + "\":", "\"" + key + "\":[[]],\"was\":");
+      Path path = Files.writeString(dir.resolve("config.json"), wrong);
+      ByteArrayOutputStream one = new ByteArrayOutputStream();
+      assertEquals(2, Serve.run((now, site, out) -> null, path.toString(), new PrintStream(one)), key);
+      assertTrue(one.toString().lines().count() == 1 && one.toString().contains(key), one.toString());
+    }
     String[] texts = {"", "{", "{}", config().replace("1024", "100"), config().replace("0000000000000001", "seed"),
         config().replace("127.0.0.1:0\"", "127.0.0.1\"")};
     for (String text : texts) {
--- a/src/test/java/saltlatch/node/WatchTest.java
+++ b/src/test/java/saltlatch/node/WatchTest.java
@@ -156,7 +156,7 @@
   @Test
   void olderListsArePassedOver(@TempDir Path dir) throws Exception {
     Path path = dir.resolve("config.json");
-    node.rereadOnHangup(path);
+    node.rereadOn(new Hangups(), path);
     Socket old = first();
     stream(old, list(7, false, "s-1", "Terminating"));
     assertEquals("listed CHANGES [1 DRAINING]", next());
@@ -175,6 +175,22 @@
     was.close();
   }
 
+  /** An address that can't be used, or an entry of another type: the change is asked for again, and none of it is half taken. */
+  @Test
+  void malformedListsAreAskedForAgain() throws Exception {
+    String good = list(2, false, "s-1", "Ready");
+    String[] bad = {good.replace("127.0.0.1:9", "nowhere"), good.replace("127.0.0.1:9", "127.0.0.1:x"),
+        good.replace("\"127.0.0.1:9\"", "{}"), good.replace("Ready", "Sleeping"), good.replace("127.0.0.1:9", ""),
+        good.replace("\"since_ms\":0", "\"since_ms\":\"soon\""), "[]\n", "all is well\n"};
+    for (String one : bad) {
+      first();
+      stream(last, one + list(3, false, "s-3", "Ready")); // what comes behind it is no help: it would hide what is missing
+    }
+    first();
+    stream(last, good);
+    assertEquals("listed CHANGES [1 READY]", next());
+  }
+
   private static String restOf(Socket s) throws IOException {
     try {
       for (String line = line(s); !line.equals("closed"); line = line(s)) continue;
