The cold ramp holds for the fleet: budgets by number of app servers, turns kept while they wait

Seen: in a model of 30 nodes, each with a Control, where all app servers come back cold (twice their capacity allowed, a fifth of it at first), 598 of 1,000 draws sent one of them more than N + 2 root of N + 2 in a window (text of: every node's own first req goes through), and 236 of 1,000 with parts as a rate, since the less was warm, the more a warm one seemed to carry. With one cold of eleven the same rate left it a third of its fair part (0.08 of the budget at 30 and 100 nodes; 0.24 before): it waited for its part, and only then for its turn. Change: what is carried is taken over the number of app servers, 0.85 of that budget is used, and a cold one's turn is kept while it waits.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -51,7 +51,7 @@
   static final double CROWD = 2; // times its fair part of what is out that an app srv may hold
   static final double CROWD_FREE = 2; // dispatches out that never make an app srv crowded
   static final double CREDIT = 2; // turns an app srv may be ahead or behind, so that none saves up a rush
-  static final double COLD_USE = 0.5; // part of the cold budget used: the guide and the chance are rough
+  static final double COLD_USE = 0.85; // part of the cold budget used: then chance stays under the bound in 99 of 100
   static final long WAY = 200; // 20 ms: a further dispatch's last byte is there by then, as a rule
   static final double RATE_TIME = 10_000; // 1 s: over this the rate of passed dispatches is taken
   static final double WAIT_PART = 0.3; // part of the response target that dispatches may take on average
@@ -163,6 +163,7 @@
   private double memory = MEMORY; // over this an app srv's record fades
   private double unitsSent, unitsAsked; // fading, over the cold rule's window; the latter: of what was wanted
   private double warmSeen; // app srvs, cold ones counted in part
+  private int usable; // app srvs, cold ones in full
   private long followAt; // discovery is asked then; asked already: never
   private long roundAt, roundSet; // next housekeeping: wanted, and asked for
 
@@ -439,8 +440,8 @@
   private boolean coldAllows(Srv s) {
     double warmth = warmth(s);
     if (warmth >= 1) return true;
-    // Where all are cold nothing has been sent yet: what is asked for then tells what each would carry.
-    double carried = Math.max(unitsSent, unitsAsked) / Math.max(1, warmSeen);
+    // By number, not by warmth: of few warm ones each would seem to carry much, and most is cold then.
+    double carried = Math.max(unitsSent, unitsAsked) / Math.max(1, usable);
     double budget = COLD_USE * rules.fallMultiple() * warmth * carried;
     double gained = budget * (now - s.coldAt) / Math.max(1, rules.fallTime());
     s.coldLeft = Math.min(Math.max(1, budget), s.coldLeft + gained);
@@ -460,7 +461,7 @@
     if (r.sends == 0) unitsAsked += r.told.units();
     srvs.each(s -> {
       boolean tried = r.sends == 1 && r.last == s;
-      if (s.usable && !tried && inGroup(r, s) && coldAllows(s)) able.add(s);
+      if (s.usable && !tried && inGroup(r, s)) able.add(s);
     });
     double[] weights = able.stream().mapToDouble(this::weight).toArray();
     double all = 0;
@@ -474,6 +475,7 @@
       Srv s = able.get(i);
       double part = weights[i] / all;
       s.credit = Math.max(-CREDIT, Math.min(CREDIT, s.credit + part));
+      if (!coldAllows(s)) continue; // its turn stays: else a cold one would wait for its part and then again
       if (best == null || s.credit > best.credit) best = s;
       boolean crowded = s.out > CROWD_FREE && s.out > CROWD * held * part;
       if (!crowded && (calm == null || s.credit > calm.credit)) calm = s;
@@ -522,7 +524,13 @@
     }
   }
 
-  private void weighFleet() { warmSeen = 0; srvs.each(s -> warmSeen += s.usable ? warmth(s) : 0); }
+  private void weighFleet() {
+    warmSeen = usable = 0;
+    srvs.each(s -> {
+      usable += s.usable ? 1 : 0;
+      warmSeen += s.usable ? warmth(s) : 0;
+    });
+  }
 
   private void forget(Srv s) { if (!s.usable && s.out == 0) srvs.release(s.id); }
 
--- a/src/test/java/saltlatch/rules/RulesTest.java
+++ b/src/test/java/saltlatch/rules/RulesTest.java
@@ -25,7 +25,8 @@
   private static RuleSet rules(double rate, RuleSet.Expired expired, String... pins) {
     Site.Frontend f = new Site.Frontend(Site.Effect.REPLAYABLE, Site.Group.ALL, 0, 1_000, 2_000, 1);
     return new RuleSet(new Version(1, 0), Map.of("plan", new Site.Plan(rate, 4 * rate, 0, 0, 0, 1)), Map.of("read", f),
-        new RuleSet.Limits(4, 1_000), new TreeSet<>(), new TreeSet<>(), new TreeSet<>(), new TreeSet<>(List.of("n0", "n1", "n2")), // the model has up to five
+        new RuleSet.Limits(4, 1_000), new TreeSet<>(), new TreeSet<>(), new TreeSet<>(),
+        new TreeSet<>(List.of("n0", "n1", "n2")), // the model has up to five
         new TreeSet<>(List.of(pins)), expired);
   }
 
@@ -225,7 +226,8 @@
     assertTrue(r.apply(new Register.Op.Put(r.newest(), rules(6, RuleSet.Expired.DENY))).contains("still offered"));
     assertEquals("in force 1.1", r.apply(new Register.Op.Activate(new Version(1, 1))));
     assertTrue(r.apply(new Register.Op.Activate(new Version(1, 1))).startsWith("old:"));
-    assertTrue(r.apply(new Register.Op.Put(r.newest(), rules(4, RuleSet.Expired.DENY))).contains("pinned in epoch 1: plans.plan"));
+    assertTrue(r.apply(new Register.Op.Put(r.newest(), rules(4, RuleSet.Expired.DENY)))
+        .contains("pinned in epoch 1: plans.plan"));
     RuleSet bad = rules(0, RuleSet.Expired.DENY).as(new Version(0, 0));
     assertTrue(r.apply(new Register.Op.Put(r.newest(), bad)).startsWith("refused: epoch 0 is over"));
     assertEquals("offered 2.1", r.apply(new Register.Op.Put(r.newest(), rules(4, RuleSet.Expired.DENY).as(new Version(2, 0)))));
