--- a/src/test/java/saltlatch/ColdFleetTest.java
+++ b/src/test/java/saltlatch/ColdFleetTest.java
@@ -79,7 +79,7 @@
       long rid = 0;
       for (long now = STEP; now < END; now += STEP) {
         Map<Integer, List<Event>> events = new TreeMap<>();
-        for (long[] one : sent) add(events, (int) one[0], 
+        for (long[] one : sent) add(events, (int) one[0],
           new Event.Ended(one[1], 0, 0, Outcome.PASSED, true, STEP, 0, 0, List.of()));
         sent.clear();
         double arrivals = WARM * carried * STEP / WINDOW;
