--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -51,7 +51,7 @@
   static final double CROWD = 2; // times its fair part of what is out that an app srv may hold
   static final double CROWD_FREE = 2; // dispatches out that never make an app srv crowded
   static final double CREDIT = 2; // turns an app srv may be ahead or behind, so that none saves up a rush
-  static final double COLD_USE = 0.85; // part of the cold budget used: chance stays under the bound in 99 of 100
+  static final double COLD_USE = 0.85; // part of the cold budget used: the bound holds in 99 of 100 draws
   static final long WAY = 200; // 20 ms: a further dispatch's last byte is there by then, as a rule
   static final double RATE_TIME = 10_000; // 1 s: over this the rate of passed dispatches is taken
   static final double WAIT_PART = 0.3; // part of the response target that dispatches may take on average
