--- a/src/test/java/saltlatch/ColdFleetTest.java
+++ b/src/test/java/saltlatch/ColdFleetTest.java
@@ -123,7 +123,8 @@
       "30, 2, 4, false, 7, 1000", "100, 2, 4, false, 7, 1000", "100, 10, 4, false, 7, 300",
       "3, 10, 2, true, 0, 300", "30, 10, 2, true, 0, 1000", "100, 10, 2, true, 0, 300", "30, 10, 2, true, 7, 300"})
   void sumStaysUnderTheBound(int nodes, double carried, double multiple, boolean allCold, int restarted, int draws) {
-    List<double[]> all = IntStream.range(0, draws).parallel().mapToObj(seed -> new Fleet(multiple, allCold).play(nodes, carried, restarted, seed)).toList();
+    List<double[]> all = IntStream.range(0, draws).parallel()
+        .mapToObj(seed -> new Fleet(multiple, allCold).play(nodes, carried, restarted, seed)).toList();
     long beyond = all.stream().filter(draw -> draw[0] > 0).count();
     double used = all.stream().mapToDouble(draw -> draw[1]).sum() / draws;
     assertTrue(beyond <= draws / 100, beyond + " of " + draws + " draws beyond the bound");
--- a/src/test/java/saltlatch/node/NodeHarness.java
+++ b/src/test/java/saltlatch/node/NodeHarness.java
@@ -179,7 +179,8 @@
   }
 
   static String req(int id) {
-    return "*4\r\n$9\r\nSVC.QUERY\r\n$16\r\n0000000000000007\r\n$2\r\n" + (10 + id)
+    String name = Integer.toString(10 + id);
+    return "*4\r\n$9\r\nSVC.QUERY\r\n$16\r\n0000000000000007\r\n$" + name.length() + "\r\n" + name
         + "\r\n$39\r\nc=read,t=plan,d=900,units=1,spread=1,n=\r\n";
   }
 
--- /dev/null
+++ b/src/test/java/saltlatch/node/ShutdownTest.java
@@ -0,0 +1,149 @@
+package saltlatch.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import saltlatch.api.Event;
+
+/** A planned end that crosses with what clients do just then. Nothing that was read goes unanswered, or is sent on afterwards. */
+@Timeout(60)
+class ShutdownTest extends NodeHarness {
+  private static final String PING = "*1\r\n$4\r\nPING\r\n";
+
+  private CompletableFuture<Void> ending() {
+    stopped = true;
+    return node.stop().toCompletionStage().toCompletableFuture();
+  }
+
+  /** Hundreds of connections wait to be accepted, each with a req, when the end begins: all are served. */
+  @Test
+  void crowdInTheBacklog() throws Exception {
+    CountDownLatch held = new CountDownLatch(1);
+    CountDownLatch go = new CountDownLatch(1);
+    script = e -> {
+      if (!(e instanceof Event.Arrived)) return;
+      held.countDown();
+      try {
+        assertTrue(go.await(20, TimeUnit.SECONDS));
+      } catch (InterruptedException i) {
+        throw new IllegalStateException(i);
+      }
+      to.deny(rid(e), 0);
+    };
+    Socket first = client();
+    say(first, req(0));
+    assertTrue(held.await(20, TimeUnit.SECONDS));
+    List<Socket> crowd = new ArrayList<>();
+    for (int i = 1; i <= 300; i++) {
+      Socket c = client();
+      say(c, req(i));
+      crowd.add(c);
+    }
+    CompletableFuture<Void> done = ending();
+    go.countDown();
+    for (Socket c : crowd) assertEquals("-BUSY", line(c));
+    for (Socket c : crowd) assertEquals("closed", line(c));
+    done.get(5, TimeUnit.SECONDS);
+  }
+
+  /** Clients that go on asking until their connection ends: each answer but none of the unanswered was read. */
+  @Test
+  void askedUpToTheLastTurn() throws Exception {
+    script = e -> {
+      if (e instanceof Event.Arrived) to.deny(rid(e), 0);
+    };
+    List<Socket> clients = new ArrayList<>();
+    for (int i = 0; i < 20; i++) clients.add(usual());
+    while (seen.poll() != null) continue;
+    CompletableFuture<Void> done = ending();
+    int answered = 0;
+    for (int round = 0; !clients.isEmpty(); round++) {
+      for (int i = 0; i < clients.size(); i++) say(clients.get(i), req(100 * round + i));
+      for (Socket c : List.copyOf(clients)) {
+        if (line(c).equals("-BUSY")) answered++;
+        else clients.remove(c);
+      }
+    }
+    done.get(5, TimeUnit.SECONDS);
+    long arrived = seen.stream().filter(text -> text.startsWith("arrived")).count();
+    assertTrue(arrived <= answered, arrived + " read and " + answered + " answered"); // the last ones the door denies itself
+  }
+
+  /** Answers that a client has not taken yet when the end comes still reach it, whole, before its connection ends. */
+  @Test
+  void answersInTheWriteQueue() throws Exception {
+    Socket c = client();
+    String info = "*1\r\n$4\r\nINFO\r\n";
+    for (int i = 0; i < 2_000; i++) say(c, info);
+    CompletableFuture<Void> done = ending();
+    int got = 0;
+    for (String line = line(c); !line.equals("closed"); line = line(c)) if (line.startsWith("held=")) got++;
+    assertEquals(2_000, got);
+    done.get(5, TimeUnit.SECONDS);
+  }
+
+  /** An app srv that hangs just then: the req is aborted in time, and its late answer is nobody's. */
+  @Test
+  void appSrvHangs() throws Exception {
+    script = e -> {
+      if (e instanceof Event.Arrived) to.dispatch(rid(e), 0, 80_000);
+    };
+    Socket c = client();
+    say(c, req(0));
+    Socket s = accept(appSrv);
+    lines(s, 9);
+    long since = System.nanoTime();
+    CompletableFuture<Void> done = ending();
+    assertEquals("-ERR aborted closed", lines(c, 2));
+    long took = (System.nanoTime() - since) / 1_000_000;
+    assertTrue(took < 3_400, took + " ms"); // SIGKILL comes 1.7 s after SIGTERM at the soonest, 3.7 s where deadlines are long
+    say(s, "*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n");
+    done.get(5, TimeUnit.SECONDS);
+  }
+
+  /** The end is told before the node is ready: it never gets ready, and is over at once. */
+  @Test
+  void beforeItIsReady() throws Exception {
+    Serve early = new Serve(Station.of(config()));
+    CompletableFuture<Void> done = early.stop().toCompletionStage().toCompletableFuture();
+    CompletableFuture<Void> open = early.start((now, site, out) -> (at, events) -> { }).toCompletionStage().toCompletableFuture();
+    assertThrows(ExecutionException.class, () -> open.get(5, TimeUnit.SECONDS));
+    done.get(5, TimeUnit.SECONDS);
+  }
+
+  /** Half a command waits for its rest while the node ends: whole, it is answered. */
+  @Test
+  void halfACommand() throws Exception {
+    script = e -> {
+      if (e instanceof Event.Arrived) to.deny(rid(e), 0);
+    };
+    Socket c = client();
+    String two = PING + req(1);
+    int half = two.length() - 20;
+    CompletableFuture<Void> done = ending();
+    long answers = 0;
+    while (true) {
+      say(c, two.substring(0, half));
+      String pong = line(c);
+      if (pong.equals("closed")) break;
+      assertEquals("+PONG", pong);
+      say(c, two.substring(half));
+      String busy = line(c);
+      if (busy.equals("closed")) break; // refusing: half a command is not waited for any more
+      assertEquals("-BUSY", busy);
+      answers++;
+    }
+    assertTrue(answers > 0);
+    done.get(5, TimeUnit.SECONDS);
+  }
+}
