--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -44,10 +44,10 @@
 
   Serve(Station station) {
     this.station = station;
-    vertx = Vertx.vertx(new VertxOptions().setPreferNativeTransport(true) // NIO's timers spin for half a ms each
+    vertx = OneLoop.of(Vertx.builder()).with(new VertxOptions().setPreferNativeTransport(true) // NIO's timers spin for half a ms each
         .setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
         .setBlockedThreadCheckInterval(TimeUnit.HOURS.toMillis(1))
-        .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+        .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false))).build();
     vertx.exceptionHandler(this::unexpected);
     loop = vertx.getOrCreateContext();
     loop.exceptionHandler(this::unexpected);
--- a/src/test/java/saltlatch/node/NodeHarness.java
+++ b/src/test/java/saltlatch/node/NodeHarness.java
@@ -82,7 +82,7 @@
     counter.close();
     discovery.close();
     peer.close();
-    if (!stopped) node.stop().toCompletionStage().toCompletableFuture().get();
+    if (!stopped) node.stop().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
   }
 
   String config() throws IOException {
--- /dev/null
+++ b/src/test/java/saltlatch/node/ProcessIT.java
@@ -0,0 +1,155 @@
+package saltlatch.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** One process of the built jar with its real module; the test is its clients, counter, discovery and app srv. */
+@Timeout(120)
+class ProcessIT {
+  private static final String PING = "*1\r\n$4\r\nPING\r\n";
+  private static final int DESCRIPTORS = 256;
+
+  private final List<Socket> sockets = new ArrayList<>();
+  @TempDir private Path dir;
+  private ServerSocket appSrv;
+  private ServerSocket counter;
+  private ServerSocket discovery;
+  private Process process;
+  private int port;
+
+  @BeforeEach
+  void start() throws Exception {
+    appSrv = NodeHarness.listen();
+    counter = NodeHarness.listen();
+    discovery = NodeHarness.listen();
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      port = free.getLocalPort();
+    }
+    String config = Files.readString(Path.of("deploy/sample.json"))
+        .replace("\"sockets\":1024", "\"sockets\":" + DESCRIPTORS)
+        .replace("\"countLimit\":30", "\"countLimit\":5000")
+        .replace("\"listen\":\"127.0.0.1:16379\"", "\"listen\":\"127.0.0.1:" + port + "\"")
+        .replace("\"peer_listen\":\"127.0.0.1:16379\"", "\"peer_listen\":\"127.0.0.1:" + port + "\"")
+        .replace("\"peers\":[\"127.0.0.1:16379\"]", "\"peers\":[\"127.0.0.1:" + port + "\"]")
+        .replace("\"discovery\":\"127.0.0.1:16379\"", "\"discovery\":\"127.0.0.1:" + discovery.getLocalPort() + "\"")
+        .replace("\"counter\":\"127.0.0.1:16379\"", "\"counter\":\"127.0.0.1:" + counter.getLocalPort() + "\"")
+        .replace("\"address\":\"127.0.0.1:16379\"", "\"address\":\"127.0.0.1:9\"");
+    Path file = Files.writeString(dir.resolve("config.json"), config);
+    ProcessBuilder command = new ProcessBuilder("sh", "-c", "ulimit -n " + DESCRIPTORS + "; exec "
+        + Path.of(System.getProperty("java.home"), "bin", "java") + " -XX:+UseSerialGC -Xmx64m -jar target/saltlatch.jar serve");
+    command.environment().put("LB_CONFIG", file.toString());
+    process = command.redirectErrorStream(true).redirectOutput(dir.resolve("log.txt").toFile()).start();
+  }
+
+  @AfterEach
+  void end() throws Exception {
+    process.destroyForcibly().waitFor();
+    for (Socket s : sockets) s.close();
+    appSrv.close();
+    counter.close();
+    discovery.close();
+  }
+
+  private Socket client() throws IOException {
+    Socket s = new Socket("127.0.0.1", port);
+    s.setSoTimeout(20_000);
+    sockets.add(s);
+    return s;
+  }
+
+  private Socket accept(ServerSocket at) throws IOException {
+    Socket s = at.accept();
+    s.setSoTimeout(20_000);
+    sockets.add(s);
+    return s;
+  }
+
+  private void ready() throws Exception {
+    while (true) {
+      assertTrue(process.isAlive());
+      try {
+        Socket c = client();
+        NodeHarness.say(c, PING);
+        if (NodeHarness.line(c).equals("+PONG")) return;
+      } catch (IOException e) {
+        Thread.sleep(20); // not listening yet
+      }
+    }
+  }
+
+  private int descriptors() throws IOException {
+    try (Stream<Path> open = Files.list(Path.of("/proc", Long.toString(process.pid()), "fd"))) {
+      return (int) open.count();
+    }
+  }
+
+  /** Idle clients fill all that clients may have while discovery is silent: at its return all partners are still reached. */
+  @Test
+  void idleClientsWhileDiscoveryIsDown() throws Exception {
+    ready();
+    for (int i = 0; i < 400; i++) {
+      Socket c = client();
+      NodeHarness.say(c, i % 2 == 0 ? PING : "*1\r\n");
+    }
+    long back = System.nanoTime();
+    Socket watch = accept(discovery);
+    discovery.setSoTimeout(200);
+    try {
+      while (true) watch = accept(discovery); // the newest: earlier ones were given up, each 2 s behind the last
+    } catch (java.net.SocketTimeoutException e) {
+      // the one in hand is waited for still
+    }
+    NodeHarness.line(watch);
+    NodeHarness.stream(watch, "{\"index\":2,\"snapshot\":true,\"endpoints\":[{\"name\":\"s-2\",\"address\":\"127.0.0.1:"
+        + appSrv.getLocalPort() + "\",\"zone\":\"a\",\"type\":\"m\",\"group\":3,\"status\":\"Ready\",\"weight\":1.0,"
+        + "\"since_ms\":0}]}\n");
+    Socket c = client();
+    NodeHarness.say(c, PING + NodeHarness.req(1).replace("d=900", "d=9000").replace("$39", "$40"));
+    assertEquals("+PONG", NodeHarness.line(c));
+    Socket count = accept(counter);
+    NodeHarness.line(count);
+    NodeHarness.say(count, "ok 0\r\n");
+    Socket s = accept(appSrv);
+    NodeHarness.lines(s, 9);
+    NodeHarness.say(s, "*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n");
+    assertEquals("$2 hi", NodeHarness.lines(c, 2));
+    assertTrue(descriptors() < DESCRIPTORS - 16, descriptors() + " descriptors");
+    assertTrue(System.nanoTime() - back < 30_000_000_000L);
+  }
+
+  /** SIGTERM in the instant of readiness and once more: what is asked is still answered, and the process ends by itself. */
+  @Test
+  void endsWhenJustReady() throws Exception {
+    ready();
+    Socket c = client();
+    process.destroy();
+    process.destroy();
+    long since = System.nanoTime();
+    int answered = 0;
+    for (int i = 0; ; i++) {
+      NodeHarness.say(c, PING);
+      if (!NodeHarness.line(c).equals("+PONG")) break;
+      answered++;
+    }
+    assertTrue(answered > 0);
+    assertTrue(process.waitFor(10, TimeUnit.SECONDS));
+    assertEquals(143, process.exitValue());
+    assertTrue(System.nanoTime() - since < 4_500_000_000L, Files.readString(dir.resolve("log.txt")));
+  }
+}
