--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -47,7 +47,8 @@
     vertx = OneLoop.of(Vertx.builder()).with(new VertxOptions().setPreferNativeTransport(true) // NIO's timers spin for half a ms each
         .setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
         .setBlockedThreadCheckInterval(TimeUnit.HOURS.toMillis(1))
-        .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false))).build();
+        .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)))
+        .build();
     vertx.exceptionHandler(this::unexpected);
     loop = vertx.getOrCreateContext();
     loop.exceptionHandler(this::unexpected);
