--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -44,7 +44,8 @@
 
   Serve(Station station) {
     this.station = station;
-    vertx = OneLoop.of(Vertx.builder()).with(new VertxOptions().setPreferNativeTransport(true) // NIO's timers spin for half a ms each
+    // NIO's timers spin for half a ms each.
+    vertx = OneLoop.of(Vertx.builder()).with(new VertxOptions().setPreferNativeTransport(true)
         .setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
         .setBlockedThreadCheckInterval(TimeUnit.HOURS.toMillis(1))
         .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)))
