--- a/src/main/java/saltlatch/Quotas.java
+++ b/src/main/java/saltlatch/Quotas.java
@@ -305,8 +305,8 @@
       c.held = shares == null ? c.share : Math.max(NOUGHT, shares.own(now, c.first, c.width));
       if (shares != null) presume(c);
       c.room *= c.held;
-      // Guards, where there is no counter, against shares below one req: each of many nodes would let one through
-      // at first. Each begins anywhere on the way to its next req, so that together they pass what they hold.
+      // Guards, where there is no counter, against shares below one req: each of many nodes would let one
+      // through at first. Each begins anywhere on the way to its next req: together they pass what they hold.
       if (!site.counting().open() && c.room < units) c.room -= units * chance.nextDouble();
     }
     return c.room > 0;
