--- a/src/main/java/saltlatch/Quotas.java
+++ b/src/main/java/saltlatch/Quotas.java
@@ -1,7 +1,6 @@
 package saltlatch;
 
 import java.util.ArrayDeque;
-import java.util.SplittableRandom;
 import java.util.function.Predicate;
 import saltlatch.api.Event;
 import saltlatch.api.Index;
@@ -71,7 +70,6 @@
 
   private final Site site;
   private final Gossip gossip;
-  private final SplittableRandom chance;
   private final long started;
   private final Index<Customer> customers = new Index<>();
   private final Index<Window> windows = new Index<>();
@@ -79,8 +77,7 @@
   private Shares shares; // null: nodes do not know each other
   private double counted = 1; // part of this node's charges that calls carried before their window turned
 
-  Quotas(long now, Site site, Gossip gossip, SplittableRandom chance) {
-    this.chance = chance;
+  Quotas(long now, Site site, Gossip gossip) {
     this.now = now;
     this.site = site;
     this.gossip = gossip;
@@ -305,9 +302,6 @@
       c.held = shares == null ? c.share : Math.max(NOUGHT, shares.own(now, c.first, c.width));
       if (shares != null) presume(c);
       c.room *= c.held;
-      // Guards, where there is no counter, against shares below one req: each of many nodes would let one
-      // through at first. Each begins anywhere on the way to its next req: together they pass what they hold.
-      if (!site.counting().open() && c.room < units) c.room -= units * chance.nextDouble();
     }
     return c.room > 0;
   }
