--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -44,12 +44,10 @@
 
   Serve(Station station) {
     this.station = station;
-    // NIO's timers spin for half a ms each.
-    vertx = OneLoop.of(Vertx.builder()).with(new VertxOptions().setPreferNativeTransport(true)
+    vertx = Vertx.vertx(new VertxOptions().setPreferNativeTransport(true) // NIO's timers spin for half a ms each
         .setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
         .setBlockedThreadCheckInterval(TimeUnit.HOURS.toMillis(1))
-        .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)))
-        .build();
+        .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
     vertx.exceptionHandler(this::unexpected);
     loop = vertx.getOrCreateContext();
     loop.exceptionHandler(this::unexpected);
--- a/src/main/java/saltlatch/wire/Closing.java
+++ b/src/main/java/saltlatch/wire/Closing.java
@@ -1,7 +1,6 @@
 package saltlatch.wire;
 
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.DuplexChannel;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
@@ -12,9 +11,9 @@
 
   /** Ends this side alone. */
   static void ownSide(NetSocket socket) {
-    Channel channel = context(socket).channel();
+    Channel channel = channel(socket);
     if (channel instanceof DuplexChannel both && channel.isActive()) both.shutdownOutput();
-    else atOnce(socket);
+    else channel.close();
   }
 
   /**
@@ -22,10 +21,10 @@
    * whole to an app srv whose dispatch was given up, or told as never begun.
    */
   static void atOnce(NetSocket socket) {
-    context(socket).close(); // from here on: the channel's own would pass Vert.x' handler, which waits
+    channel(socket).close();
   }
 
-  private static ChannelHandlerContext context(NetSocket socket) {
-    return ((NetSocketInternal) socket).channelHandlerContext();
+  private static Channel channel(NetSocket socket) {
+    return ((NetSocketInternal) socket).channelHandlerContext().channel();
   }
 }
