--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 POLICY = $(shell sed -n 's/^policy = \[\(.*\)\].*$$/\1/p' deploy/balancer.toml | tr -d '",')
 
-.PHONY: build test lint run
+.PHONY: build test format lint run
 
 build:
 	mvn -q -DskipTests package
@@ -9,9 +9,13 @@
 test:
 	mvn -B verify
 
-# javac's lints as errors, the module's limits, no tabs and no long lines. The JDK handles signals by a class of its own
+format:
+	mvn -q -B formatter:format
+
+# The layout and checkstyle's rules (in `mvn verify` too), javac's lints as errors, the module's limits, no tabs and no long lines. The JDK handles signals by a class of its own
 # alone, of which javac warns whatever it is told.
 lint:
+	mvn -q -B formatter:validate checkstyle:check
 	@out=$$(mvn -B -DskipTests clean compile) || { echo "$$out"; exit 1; }; \
 	  ! echo "$$out" | grep WARNING | grep -v 'sun.misc.Signal'
 	@! grep -nP '\t| +$$' -r src --include=*.java
--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -1,6 +1,5 @@
 package saltlatch;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -68,7 +67,11 @@
   static final double SPREAD_BACK = 0.5; // part of a window over which come-back advice is spread
   static final long TICKS_SPARE = 2; // ticks before the client timeout that a final answer goes out
 
-  private enum End { NONE, DENIED, ABORTED }
+  private enum End {
+    NONE,
+    DENIED,
+    ABORTED
+  }
 
   /** Lives for one dispatch. */
   private static final class Dispatch {
@@ -248,7 +251,9 @@
   }
 
   /** Nodes that what all may do together is divided by. */
-  private int nodes() { return shares == null ? Math.max(1, site.nodes()) : shares.counted(); }
+  private int nodes() {
+    return shares == null ? Math.max(1, site.nodes()) : shares.counted();
+  }
 
   // ---- arriving and counting
 
@@ -368,15 +373,15 @@
       long unsure = Math.max(0, nextCall - now) + (long) (gap * chance.nextDouble());
       boolean known = r.belated || r.counting || gossip.isHeard(now, c.width);
       finish(r, End.DENIED, known ? r.window.turn - now + (long) spread : unsure);
-    } else if (!open || !quotas.ceilingAllows(c, r.told.units()) || pressed(r)
-        || (r.next = choose(r)) == null) {
-      finish(r, End.DENIED, rules.longestPause());
-    } else {
-      r.admitted = true;
-      if (r.window != null) quotas.pass(r.window, r.reserved);
-      c.alone += c.alone >= 0 ? r.reserved : 0;
-      c.store -= r.told.units();
-    }
+    } else
+      if (!open || !quotas.ceilingAllows(c, r.told.units()) || pressed(r) || (r.next = choose(r)) == null) {
+        finish(r, End.DENIED, rules.longestPause());
+      } else {
+        r.admitted = true;
+        if (r.window != null) quotas.pass(r.window, r.reserved);
+        c.alone += c.alone >= 0 ? r.reserved : 0;
+        c.store -= r.told.units();
+      }
   }
 
   // ---- reservations
@@ -419,7 +424,9 @@
   }
 
   /** Mean dispatch times since it last answered anything, while something is out there. */
-  private double quiet(Srv s) { return s.out == 0 ? 0 : (now - s.heardAt) * s.paceSum / s.out; }
+  private double quiet(Srv s) {
+    return s.out == 0 ? 0 : (now - s.heardAt) * s.paceSum / s.out;
+  }
 
   /** Squared, since a slow app srv is slower still by its queue. */
   private double weight(Srv s) {
--- a/src/main/java/saltlatch/Gossip.java
+++ b/src/main/java/saltlatch/Gossip.java
@@ -53,7 +53,9 @@
   void share(Shares with) { shares = with; }
 
   /** How long a peer's last datagram says whom it hears, and that it is heard. */
-  long within() { return (long) (SILENT * period()); }
+  long within() {
+    return (long) (SILENT * period());
+  }
 
   /** The counter is not well. */
   void jam(long now) {
--- a/src/main/java/saltlatch/api/Event.java
+++ b/src/main/java/saltlatch/api/Event.java
@@ -4,13 +4,30 @@
 
 /** What an instance is told. Times are tenths of a ms. */
 public sealed interface Event {
-  enum ListKind { CHANGES, WHOLE, CACHED, FAILED }
+  enum ListKind {
+    CHANGES,
+    WHOLE,
+    CACHED,
+    FAILED
+  }
 
-  enum Condition { DRAINING, GONE, READY }
+  enum Condition {
+    DRAINING,
+    GONE,
+    READY
+  }
 
   /** How a dispatch, a probe or a count call ended. */
   enum Outcome {
-    PASSED, ERROR, FULL, LATE, NOT_CONNECTED, BROKEN, CANCELLED, NOT_SENT, WITHDRAWN;
+    PASSED,
+    ERROR,
+    FULL,
+    LATE,
+    NOT_CONNECTED,
+    BROKEN,
+    CANCELLED,
+    NOT_SENT,
+    WITHDRAWN;
 
     /** The app srv cannot have run it. */
     public boolean neverRan() {
@@ -26,8 +43,8 @@
    * A req: its client waits {@code left} from when it sent it; the customer uses {@code width} nodes from {@code first}
    * on; {@code age}: known to have lain unread for so long while this node was away.
    */
-  record Arrived(long rid, int frontend, int plan, long customer, long left, double units,
-      int width, int first, boolean repeat, long age) implements Event {}
+  record Arrived(long rid, int frontend, int plan, long customer, long left, double units, int width,
+      int first, boolean repeat, long age) implements Event {}
 
   /** The answer has begun to stream; the client timeout no longer runs. */
   record Begun(long rid, long srv, int dispatch, long spent) implements Event {}
@@ -45,7 +62,11 @@
   record Heard(int from, Told told) implements Event {}
 
   /** What a member of the fleet is to this node: there, not there (but it may run), or its surplus is this node's side's. */
-  enum Life { LIVE, LOST, GONE }
+  enum Life {
+    LIVE,
+    LOST,
+    GONE
+  }
 
   /**
    * What this node knows of the fleet, where nodes know each other. Until {@code holdsUntil} it uses its whole share of
--- a/src/main/java/saltlatch/api/Site.java
+++ b/src/main/java/saltlatch/api/Site.java
@@ -6,9 +6,17 @@
 public record Site(long seed, int nodes, long tick, Rules rules, Counting counting, Peers peers,
     List<Frontend> frontends, List<Plan> plans) {
 
-  public enum Effect { REPLAYABLE, UNIQUED, NON_REPLAYABLE }
-
-  public enum Group { ALL, ZONE, CELL }
+  public enum Effect {
+    REPLAYABLE,
+    UNIQUED,
+    NON_REPLAYABLE
+  }
+
+  public enum Group {
+    ALL,
+    ZONE,
+    CELL
+  }
 
   public record Frontend(Effect effect, Group group, long remembered, long target, long clientTimeout,
       double value) {}
@@ -17,9 +25,9 @@
   public record Plan(double rate, double burst, int parallel, double ceilingRate, double ceilingBurst,
       double price) {}
 
-  public record Rules(boolean mustFollow, boolean mayCancel, int sendCap,
-      boolean mayAdvise, long longestPause, boolean marksTries, long cold, double coldFrom,
-      double fallMultiple, long fallTime) {}
+  public record Rules(boolean mustFollow, boolean mayCancel, int sendCap, boolean mayAdvise,
+      long longestPause, boolean marksTries, long cold, double coldFrom, double fallMultiple,
+      long fallTime) {}
 
   public record Counting(boolean open, boolean unitsAfter) {}
 
--- a/src/main/java/saltlatch/cli/LoadCommand.java
+++ b/src/main/java/saltlatch/cli/LoadCommand.java
@@ -17,18 +17,14 @@
 import saltlatch.wire.RespReader;
 
 /** {@code load}: the scenario's open-loop schedule against edge nodes already listening on loopback ports. */
-@Command(name = "load", mixinStandardHelpOptions = true,
-    description = "Offer the scenario's load, open loop, to edge nodes on loopback; print outcomes and latency.")
+@Command(name = "load", mixinStandardHelpOptions = true, description = "Offer the scenario's load, open loop, to edge nodes on loopback; print outcomes and latency.")
 final class LoadCommand implements Callable<Integer> {
-  @Option(names = "--scenario", required = true, description = "scenario file (TOML, see docs/lab.md)")
-  Path scenario;
+  @Option(names = "--scenario", required = true, description = "scenario file (TOML, see docs/lab.md)") Path scenario;
 
-  @Option(names = "--ports", split = ",", description = "the nodes' client ports on 127.0.0.1")
-  List<Integer> ports;
+  @Option(names = "--ports", split = ",", description = "the nodes' client ports on 127.0.0.1") List<Integer> ports;
 
   @Option(names = "--echo", description = "measure the load tool itself: send to an in-process server that "
-      + "answers every command at once with a value, instead of to nodes")
-  boolean echo;
+      + "answers every command at once with a value, instead of to nodes") boolean echo;
 
   @Override
   public Integer call() throws Exception {
@@ -47,7 +43,8 @@
           }
         });
       });
-      ports = List.of(server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().get().actualPort());
+      ports = List
+          .of(server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().get().actualPort());
     } else if (ports == null || ports.isEmpty()) {
       System.err.println("saltlatch load: --ports or --echo");
       return 2;
@@ -57,8 +54,8 @@
     LoadRunner load = new LoadRunner(s, schedule, ports, new LabClock());
     load.run().toCompletionStage().toCompletableFuture()
         .get((long) (s.seconds() + s.load().deadlineMs() / 1000 + 30), TimeUnit.SECONDS);
-    System.out.println("tries " + load.tries() + ", outcomes " + load.outcomes() + ", latency us " + load.latency()
-        + ", sender late us " + load.senderLate());
+    System.out.println("tries " + load.tries() + ", outcomes " + load.outcomes() + ", latency us "
+        + load.latency() + ", sender late us " + load.senderLate());
     load.close();
     if (echoes != null) echoes.close();
     return 0;
--- a/src/main/java/saltlatch/history/History.java
+++ b/src/main/java/saltlatch/history/History.java
@@ -58,7 +58,8 @@
   public void add(String kind, Object... fields) {
     LoggingEventBuilder event = log.atInfo().addKeyValue("name", name).addKeyValue("inc", incarnation)
         .addKeyValue("mono_ns", System.nanoTime());
-    for (int i = 0; i + 1 < fields.length; i += 2) event = event.addKeyValue((String) fields[i], fields[i + 1]);
+    for (int i = 0; i + 1 < fields.length; i += 2)
+      event = event.addKeyValue((String) fields[i], fields[i + 1]);
     event.log(kind);
   }
 
--- a/src/main/java/saltlatch/lab/check/Line.java
+++ b/src/main/java/saltlatch/lab/check/Line.java
@@ -18,7 +18,8 @@
  * One event of a history: which process, in which incarnation, when on the machine's monotonic clock, what, and its
  * fields; {@code at} is where it stands (file and line).
  */
-public record Line(String name, String incarnation, long monoNs, String kind, Map<String, String> fields, String at) {
+public record Line(String name, String incarnation, long monoNs, String kind, Map<String, String> fields,
+    String at) {
 
   public String get(String field) {
     return fields.getOrDefault(field, "");
--- a/src/main/java/saltlatch/lab/check/MemberTimes.java
+++ b/src/main/java/saltlatch/lab/check/MemberTimes.java
@@ -29,14 +29,14 @@
     if (times.isEmpty()) return "none";
     List<Double> sorted = times.stream().sorted().toList();
     return String.format(Locale.ROOT, "p50 %.1f p99 %.1f max %.1f of %d", sorted.get(sorted.size() / 2),
-        sorted.get((int) Math.min(sorted.size() - 1, Math.ceil(0.99 * sorted.size()))), sorted.get(sorted.size() - 1),
-        sorted.size());
+        sorted.get((int) Math.min(sorted.size() - 1, Math.ceil(0.99 * sorted.size()))),
+        sorted.get(sorted.size() - 1), sorted.size());
   }
 
   @Override
   public String toString() {
-    return "failed after (s) " + spread(failed) + "; back after " + spread(back) + "; equal after a heal " + spread(equal)
-        + "; falsely failed " + falselyFailed;
+    return "failed after (s) " + spread(failed) + "; back after " + spread(back) + "; equal after a heal "
+        + spread(equal) + "; falsely failed " + falselyFailed;
   }
 
   /** The state of one run while its history is read. */
@@ -57,7 +57,8 @@
         case "planned" -> {
           if (l.get("what").contains(" - ") || l.get("what").contains(" > ")) {
             long until = Long.parseLong(l.get("until_ns"));
-            if (l.get("what").startsWith("cut") && cuts.stream().noneMatch(c -> c[1] == until)) heals.add(until);
+            if (l.get("what").startsWith("cut") && cuts.stream().noneMatch(c -> c[1] == until))
+              heals.add(until);
             cuts.add(new long[] {Long.parseLong(l.get("from_ns")), until});
           }
         }
@@ -70,10 +71,11 @@
         case "member" -> {
           Map<String, String> view = views.get(l.name());
           if (view == null) return;
-          String before = view.put(l.get("member"), l.get("state").equals("suspect") ? "alive" : l.get("state"));
+          String before = view.put(l.get("member"),
+              l.get("state").equals("suspect") ? "alive" : l.get("state"));
           news(l, before == null ? "unknown" : before);
         }
-        default -> { }
+        default -> {}
       }
     }
 
@@ -91,7 +93,7 @@
           stopped.remove(node);
           continuedAt.put(node, l.monoNs());
         }
-        default -> { }
+        default -> {}
       }
     }
 
@@ -100,7 +102,8 @@
       String state = l.get("state");
       if (state.equals("failed") && killedAt.containsKey(member)) {
         if (undisturbed(l, killedAt.get(member))) failed.add(since(l, killedAt.get(member)));
-      } else if (state.equals("failed") && !stopped.contains(member) && !cutLately(l.monoNs())) falselyFailed++;
+      } else
+        if (state.equals("failed") && !stopped.contains(member) && !cutLately(l.monoNs())) falselyFailed++;
       if (state.equals("alive") && before.equals("failed") && continuedAt.containsKey(member)
           && undisturbed(l, continuedAt.get(member))) {
         back.add(since(l, continuedAt.get(member)));
--- a/src/main/java/saltlatch/lab/check/Properties.java
+++ b/src/main/java/saltlatch/lab/check/Properties.java
@@ -27,8 +27,8 @@
       for (Line l : history) {
         if (!l.kind().equals("answered") && !l.kind().equals("got")) continue;
         Line first = (l.kind().equals("got") ? got : answered).putIfAbsent(l.get("id"), l);
-        if (first != null) out.add(broken("req " + l.get("id") + " ended " + first.get("how") + " and " + l.get("how"),
-            first, l));
+        if (first != null) out.add(
+            broken("req " + l.get("id") + " ended " + first.get("how") + " and " + l.get("how"), first, l));
       }
       return out;
     }
@@ -51,17 +51,20 @@
       for (Line l : history) {
         if (l.kind().equals("arrived")) open.put(l.get("id"), l);
         if (l.kind().equals("answered")) open.remove(l.get("id"));
-        boolean ended = l.kind().equals("fault") && (l.get("kind").equals("kill") || l.get("kind").equals("end"));
+        boolean ended = l.kind().equals("fault")
+            && (l.get("kind").equals("kill") || l.get("kind").equals("end"));
         if (ended) open.values().removeIf(a -> a.name().equals(l.get("node")));
         if (!l.kind().equals("started")) continue;
         // Started anew with reqs still open: its forerunner ended with no fault on the schedule that explains it.
         open.values().removeIf(a -> {
           boolean lost = a.name().equals(l.name()) && !a.incarnation().equals(l.incarnation());
-          if (lost) out.add(broken("req " + a.get("id") + " was open when " + a.name() + " ended by itself", a, l));
+          if (lost)
+            out.add(broken("req " + a.get("id") + " was open when " + a.name() + " ended by itself", a, l));
           return lost;
         });
       }
-      for (Line a : open.values()) out.add(broken("req " + a.get("id") + " of " + a.name() + " has no answer", a));
+      for (Line a : open.values())
+        out.add(broken("req " + a.get("id") + " of " + a.name() + " has no answer", a));
       return out;
     }
   }
@@ -96,15 +99,17 @@
       }
       List<Violation> out = new ArrayList<>();
       for (Line l : history) {
-        if (!l.kind().equals("got") || !l.get("how").equals("BROKEN") && !l.get("how").equals("TIMED_OUT")) continue;
+        if (!l.kind().equals("got") || !l.get("how").equals("BROKEN") && !l.get("how").equals("TIMED_OUT"))
+          continue;
         Line s = sent.get(l.get("id"));
         long from = s == null ? l.monoNs() : s.monoNs();
         boolean explained = false;
         for (String who : List.of(l.get("node"), "all")) {
-          for (long[] f : faults.getOrDefault(who, List.of())) explained |= f[0] <= l.monoNs() && f[1] >= from;
+          for (long[] f : faults.getOrDefault(who, List.of()))
+            explained |= f[0] <= l.monoNs() && f[1] >= from;
         }
-        if (!explained) out.add(broken("req " + l.get("id") + " to " + l.get("node") + " " + l.get("how"),
-            s == null ? l : s, l));
+        if (!explained) out.add(
+            broken("req " + l.get("id") + " to " + l.get("node") + " " + l.get("how"), s == null ? l : s, l));
       }
       return out;
     }
@@ -147,7 +152,8 @@
         if (l.kind().equals("command") && l.get("submit").equals("true")) submits.add(l.get("id"));
         if (l.kind().equals("served")) {
           Line first = served.putIfAbsent(l.get("id"), l);
-          if (first != null && submits.contains(l.get("id"))) out.add(broken("req " + l.get("id") + " ran twice", first, l));
+          if (first != null && submits.contains(l.get("id")))
+            out.add(broken("req " + l.get("id") + " ran twice", first, l));
         }
         if (l.kind().equals("got") && l.get("how").equals("PASSED") && !served.containsKey(l.get("id"))) {
           out.add(broken("req " + l.get("id") + " passed and never ran", l));
@@ -192,8 +198,10 @@
         }
       }
       List<Violation> out = new ArrayList<>();
-      worst.forEach((c, l) -> out.add(broken(String.format(java.util.Locale.ROOT,
-          "customer %s was charged %.1f units beyond its quota, %.1f are stated", c, use.get(c)[2], bound), l)));
+      worst.forEach((c,
+          l) -> out.add(broken(String.format(java.util.Locale.ROOT,
+              "customer %s was charged %.1f units beyond its quota, %.1f are stated", c, use.get(c)[2],
+              bound), l)));
       return out;
     }
   }
@@ -232,7 +240,8 @@
     /** What a process may use so long after it told this. */
     private static double part(Line s, double laterMs) {
       if (laterMs >= s.number("holds_ms") && !s.get("is").equals("floor")) return s.number("floor");
-      return s.get("is").equals("more") && laterMs >= s.number("takes_ms") ? s.number("whole") : s.number("part");
+      return s.get("is").equals("more") && laterMs >= s.number("takes_ms") ? s.number("whole")
+          : s.number("part");
     }
   }
 }
--- a/src/main/java/saltlatch/lab/check/Recovery.java
+++ b/src/main/java/saltlatch/lab/check/Recovery.java
@@ -39,7 +39,8 @@
    * Seconds from {@code faultS} until the passed part of the tries sent to {@code nodes} is back at nine tenths of its mean
    * before the fault, for two seconds in a row; -1: not before {@code endS}; 0: it never fell.
    */
-  public static double seconds(List<Line> history, long beginNs, double faultS, double endS, Set<String> nodes) {
+  public static double seconds(List<Line> history, long beginNs, double faultS, double endS,
+      Set<String> nodes) {
     Map<String, Integer> second = new HashMap<>();
     Map<Integer, double[]> rows = new HashMap<>(); // passed, all; by the second of sending
     for (Line l : history) {
--- a/src/main/java/saltlatch/lab/emulator/AppServers.java
+++ b/src/main/java/saltlatch/lab/emulator/AppServers.java
@@ -91,7 +91,8 @@
   Future<Void> start() {
     List<Future<NetServer>> all = new ArrayList<>();
     for (Server srv : servers) {
-      srv.net = vertx.createNetServer(new NetServerOptions().setHost("127.0.0.1").setPort(0).setAcceptBacklog(1024));
+      srv.net = vertx
+          .createNetServer(new NetServerOptions().setHost("127.0.0.1").setPort(0).setAcceptBacklog(1024));
       srv.net.connectHandler(socket -> accept(srv, socket));
       all.add(srv.net.listen());
     }
@@ -187,8 +188,8 @@
     Box.Turn turn = srv.box.take(now, srv.inProgress);
     if (turn.verdict() != Box.Verdict.BUSY) truth.mayHaveRun(id);
     if (history != null) {
-      history.add("command", "id", id, "srv", "s-" + srv.box.index(), "submit", submit, "verdict", turn.verdict().name(),
-          "units", units, "customer", customer);
+      history.add("command", "id", id, "srv", "s-" + srv.box.index(), "submit", submit, "verdict",
+          turn.verdict().name(), "units", units, "customer", customer);
     }
     switch (turn.verdict()) {
       case BUSY -> c.ready(slot, line("-BUSY"));
@@ -205,8 +206,8 @@
             c.ready(slot, line("+spoilt"));
             return;
           }
-          String load = "inflight=" + srv.inProgress + ",util="
-              + String.format(java.util.Locale.ROOT, "%.2f", srv.inProgress / srv.box.capacity(clock.nowMs()));
+          String load = "inflight=" + srv.inProgress + ",util=" + String.format(java.util.Locale.ROOT, "%.2f",
+              srv.inProgress / srv.box.capacity(clock.nowMs()));
           c.ready(slot, array("v:" + id, "cost=" + units, load));
         });
       }
--- a/src/main/java/saltlatch/lab/emulator/DiscoveryStub.java
+++ b/src/main/java/saltlatch/lab/emulator/DiscoveryStub.java
@@ -79,7 +79,8 @@
     List<Boolean> out = new ArrayList<>();
     for (int i = 0; i < s.servers().count(); i++) {
       boolean in = true;
-      for (Fault f : s.servers().faults()) if (f.kind().equals("cold_start") && f.touches(i) && ms < f.atS() * 1000) in = false;
+      for (Fault f : s.servers().faults())
+        if (f.kind().equals("cold_start") && f.touches(i) && ms < f.atS() * 1000) in = false;
       out.add(in);
     }
     return out;
@@ -87,7 +88,8 @@
 
   private double lateBy(double ms) {
     double late = 0;
-    for (Fault f : s.discovery().faults()) if (f.kind().equals("late") && f.holds(ms)) late = Math.max(late, f.extraMs());
+    for (Fault f : s.discovery().faults())
+      if (f.kind().equals("late") && f.holds(ms)) late = Math.max(late, f.extraMs());
     return late;
   }
 
--- a/src/main/java/saltlatch/lab/emulator/Emulator.java
+++ b/src/main/java/saltlatch/lab/emulator/Emulator.java
@@ -48,7 +48,8 @@
     this.historyDir = historyDir;
     this.s = s;
     this.clock = clock;
-    vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setPreferNativeTransport(true));
+    vertx = Vertx.vertx(
+        new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setPreferNativeTransport(true));
     servers = new AppServers(vertx, clock, truth, s, history);
     counter = new CounterStub(vertx, clock, s.counter(), s.nodes());
     relay = new PeerRelay(vertx, s, clock);
--- a/src/main/java/saltlatch/lab/load/LoadRunner.java
+++ b/src/main/java/saltlatch/lab/load/LoadRunner.java
@@ -118,7 +118,8 @@
     this(s, schedule, nodePorts, clock, null);
   }
 
-  public LoadRunner(Scenario s, List<Arrival> schedule, List<Integer> nodePorts, LabClock clock, History history) {
+  public LoadRunner(Scenario s, List<Arrival> schedule, List<Integer> nodePorts, LabClock clock,
+      History history) {
     this.history = history;
     this.front = s.front().noticeS() > 0 ? new Front(nodePorts.size(), s.front().noticeS() * 1000) : null;
     this.pingers = new Pinger[front == null ? 0 : nodePorts.size()];
@@ -126,7 +127,8 @@
     this.schedule = schedule;
     this.nodePorts = nodePorts;
     this.clock = clock;
-    vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setPreferNativeTransport(true));
+    vertx = Vertx.vertx(
+        new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setPreferNativeTransport(true));
     net = vertx.createNetClient(new NetClientOptions().setConnectTimeout(1000).setTcpNoDelay(true));
     for (int i = 0; i < nodePorts.size(); i++) conns.add(new ArrayList<>());
     turn = new int[nodePorts.size()];
@@ -225,7 +227,8 @@
     long now = clock.nowUs() - startUs;
     while (next < schedule.size() && schedule.get(next).atUs() <= now) {
       Arrival a = schedule.get(next++);
-      (a.atUs() < WARM_US ? lateWarming : late).recordValue(Math.min(HIGHEST_US, Math.max(0, now - a.atUs())));
+      (a.atUs() < WARM_US ? lateWarming : late)
+          .recordValue(Math.min(HIGHEST_US, Math.max(0, now - a.atUs())));
       int node = nodeFor(a.customer());
       Try t = new Try(a, a.id(), node, a.eagerTries(), a.atUs());
       if (node >= 0) {
@@ -250,10 +253,10 @@
     open++;
     Arrival a = t.a;
     int k = nodePorts.size();
-    String terms = "c=" + (a.submit() ? "write" : "read") + ",t=plan,d=" + a.deadlineMs() + ",units=" + a.units()
-        + ",spread=" + k + ",first=" + (a.customer() % k) + (repeat ? ",r=1" : "");
-    List<String> words = new ArrayList<>(List.of(a.submit() ? "SVC.SUBMIT" : "SVC.QUERY",
-        String.format("%016x", a.customer()), t.id, terms));
+    String terms = "c=" + (a.submit() ? "write" : "read") + ",t=plan,d=" + a.deadlineMs() + ",units="
+        + a.units() + ",spread=" + k + ",first=" + (a.customer() % k) + (repeat ? ",r=1" : "");
+    List<String> words = new ArrayList<>(
+        List.of(a.submit() ? "SVC.SUBMIT" : "SVC.QUERY", String.format("%016x", a.customer()), t.id, terms));
     if (a.submit()) words.add("progress-save");
     Buffer b = Buffer.buffer().appendString("*" + words.size() + "\r\n");
     for (String w : words) Resp.bulk(b, w.getBytes(StandardCharsets.ISO_8859_1));
@@ -280,7 +283,8 @@
         if (c.queue.isEmpty()) return c;
         if (best == null || c.queue.size() < best.queue.size()) best = c;
       }
-      if (best != null && list.size() >= (front != null ? FRONT_LINKS : s.load().connectionsPerNode())) return best;
+      if (best != null && list.size() >= (front != null ? FRONT_LINKS : s.load().connectionsPerNode()))
+        return best;
     }
     Conn c = new Conn(node, own);
     list.add(c);
@@ -323,9 +327,8 @@
     long latency = Math.min(HIGHEST_US, Math.max(0, now - t.dueUs));
     answered.recordValue(latency);
     Outcome o;
-    if (r instanceof Resp.Bulk b && b.bytes() != null
-        || r instanceof Resp.Many m && m.items() != null && !m.items().isEmpty()
-        && m.items().get(0) instanceof Resp.Bulk first && first.bytes() != null) {
+    if (r instanceof Resp.Bulk b && b.bytes() != null || r instanceof Resp.Many m && m.items() != null
+        && !m.items().isEmpty() && m.items().get(0) instanceof Resp.Bulk first && first.bytes() != null) {
       o = Outcome.PASSED;
       passed.recordValue(latency);
       passedIds.add(t.id);
@@ -335,7 +338,8 @@
       o = Outcome.DENIED;
       if (l.text().length() > 5) retryAfter++;
       double[] use = customerUse.get(t.a.customer());
-      double allowance = s.plan().burst() + (use == null ? 0 : s.plan().rate() * (now / 1000.0 - use[1]) / 1000);
+      double allowance = s.plan().burst()
+          + (use == null ? 0 : s.plan().rate() * (now / 1000.0 - use[1]) / 1000);
       if ((use == null ? 0 : use[0]) + t.a.units() <= allowance - ROOM * s.plan().burst()) deniedWithRoom++;
     } else {
       o = Outcome.ABORTED;
@@ -362,14 +366,16 @@
     c.closed = true;
     conns.get(c.node).remove(c);
     long now = clock.nowUs() - startUs;
-    for (Try t = c.queue.pollFirst(); t != null; t = c.queue.pollFirst()) if (!t.over) finish(t, Outcome.BROKEN, now);
+    for (Try t = c.queue.pollFirst(); t != null; t = c.queue.pollFirst())
+      if (!t.over) finish(t, Outcome.BROKEN, now);
   }
 
   private void finish(Try t, Outcome o, long nowUs) {
     t.over = true;
     open--;
     outcomes.merge(o, 1L, Long::sum);
-    if (history != null) history.add("got", "id", t.id, "node", "n" + t.node, "how", o.name(), "ms", nowUs / 1000);
+    if (history != null)
+      history.add("got", "id", t.id, "node", "n" + t.node, "how", o.name(), "ms", nowUs / 1000);
     long[] row = perSecond.computeIfAbsent(nowUs / 1_000_000, k -> new long[3]);
     row[o == Outcome.PASSED ? 0 : o == Outcome.DENIED ? 1 : 2]++;
   }
--- a/src/main/java/saltlatch/lab/load/RunResult.java
+++ b/src/main/java/saltlatch/lab/load/RunResult.java
@@ -9,12 +9,13 @@
  * scheduled time, so a late sender's delay is part of them. {@code perSecond} rows are
  * {@code [second, passed, denied, aborted (all others), p99 us of answers that second]}.
  */
-public record RunResult(String scenario, String scenarioJson, long seed, String scheduleDigest, double seconds,
-    int nodes, int servers, long offered, long tries, Map<Outcome, Long> outcomes, long deniedWithRetryAfter,
-    long deniedWithRoom, Map<String, Long> latencyUs, Map<String, Long> senderLateUs, List<long[]> perSecond,
-    Truth truth, Map<String, Long> emulator, List<Map<String, Long>> nodeCounters, List<Customer> customers,
-    Process process, List<Check> checks, List<Fault> faults, Map<String, Long> relayDelayUs, List<String> violations,
-    double recoveryS, MemberTimes members) {
+public record RunResult(String scenario, String scenarioJson, long seed, String scheduleDigest,
+    double seconds, int nodes, int servers, long offered, long tries, Map<Outcome, Long> outcomes,
+    long deniedWithRetryAfter, long deniedWithRoom, Map<String, Long> latencyUs,
+    Map<String, Long> senderLateUs, List<long[]> perSecond, Truth truth, Map<String, Long> emulator,
+    List<Map<String, Long>> nodeCounters, List<Customer> customers, Process process, List<Check> checks,
+    List<Fault> faults, Map<String, Long> relayDelayUs, List<String> violations, double recoveryS,
+    MemberTimes members) {
 
   /**
    * A fault of the schedule on a process or a link, for the time line: seconds since the load's start, and the units by which
--- a/src/main/java/saltlatch/lab/plan/Box.java
+++ b/src/main/java/saltlatch/lab/plan/Box.java
@@ -13,7 +13,12 @@
  */
 public final class Box {
   /** What becomes of one command. */
-  public enum Verdict { SERVE, BUSY, FAIL, SPOIL }
+  public enum Verdict {
+    SERVE,
+    BUSY,
+    FAIL,
+    SPOIL
+  }
 
   /** The verdict, and for {@code SERVE} the latency in ms, and whether answers are held until a pause ends. */
   public record Turn(Verdict verdict, double latencyMs, double heldUntilMs) {}
@@ -68,7 +73,8 @@
   /** True if a cold start of this box is still ramping at {@code nowMs}. */
   boolean cold(double nowMs) {
     for (Fault f : faults) {
-      if (f.kind().equals("cold_start") && nowMs >= f.atS() * 1000 && nowMs < (f.atS() + f.rampS()) * 1000) return true;
+      if (f.kind().equals("cold_start") && nowMs >= f.atS() * 1000 && nowMs < (f.atS() + f.rampS()) * 1000)
+        return true;
     }
     return false;
   }
@@ -81,7 +87,8 @@
       fallenUntil = nowMs + FALL_MS;
       return new Turn(Verdict.FAIL, 0, 0);
     }
-    if (inProgress + 1 > cap * FALL_MULTIPLE || inProgress >= concurrency) return new Turn(Verdict.BUSY, 0, 0);
+    if (inProgress + 1 > cap * FALL_MULTIPLE || inProgress >= concurrency)
+      return new Turn(Verdict.BUSY, 0, 0);
     double latency = Math.exp(mu + sigma * gaussian());
     if (inProgress + 1 > cap) latency *= (inProgress + 1) / cap; // a cold box over its share queues the rest
     double held = 0;
@@ -96,7 +103,7 @@
         }
         case "slow" -> latency += f.extraMs();
         case "pause" -> held = Math.max(held, (f.atS() + f.forS()) * 1000);
-        default -> { }
+        default -> {}
       }
     }
     return new Turn(Verdict.SERVE, latency, held);
--- a/src/main/java/saltlatch/lab/plan/Drawn.java
+++ b/src/main/java/saltlatch/lab/plan/Drawn.java
@@ -30,8 +30,8 @@
     for (int i = 0; i < d.kills() + d.pauses() && i < nodes.size(); i++) {
       double at = d.atS() + SPREAD_S * chance.nextDouble();
       boolean kill = i < d.kills();
-      processes.add(new Scenario.ProcessFault(kill ? "kill" : "pause", at, kill ? 0 : lasts(chance), "n" + nodes.get(i), 0,
-          false, 0, false));
+      processes.add(new Scenario.ProcessFault(kill ? "kill" : "pause", at, kill ? 0 : lasts(chance),
+          "n" + nodes.get(i), 0, false, 0, false));
     }
     List<Scenario.LinkFault> links = new ArrayList<>(s.links().faults());
     double at = d.atS() + SPREAD_S + LEAST_S + RANGE_S;
@@ -40,9 +40,11 @@
       int turn = chance.nextInt(nodes.size());
       List<String> one = new ArrayList<>();
       List<String> rest = new ArrayList<>();
-      for (int k = 0; k < nodes.size(); k++) (k < side ? one : rest).add("n" + nodes.get((k + turn) % nodes.size()));
+      for (int k = 0; k < nodes.size(); k++)
+        (k < side ? one : rest).add("n" + nodes.get((k + turn) % nodes.size()));
       double lasts = lasts(chance);
-      links.add(new Scenario.LinkFault("cut", at, lasts, String.join(",", one), String.join(",", rest), false, 0, 0, 0));
+      links.add(new Scenario.LinkFault("cut", at, lasts, String.join(",", one), String.join(",", rest), false,
+          0, 0, 0));
       at += lasts + APART_S;
     }
     return s.withFaults(processes, links);
--- a/src/main/java/saltlatch/lab/plan/Group.java
+++ b/src/main/java/saltlatch/lab/plan/Group.java
@@ -21,7 +21,8 @@
         g.names.add(word);
         continue;
       }
-      if (!word.matches("[ns]\\d{1,4}(-\\d{1,4})?")) throw new IllegalArgumentException("group: what is " + word);
+      if (!word.matches("[ns]\\d{1,4}(-\\d{1,4})?"))
+        throw new IllegalArgumentException("group: what is " + word);
       String[] ends = word.substring(1).split("-");
       for (int i = Integer.parseInt(ends[0]); i <= Integer.parseInt(ends[ends.length - 1]); i++) {
         g.names.add(word.charAt(0) + "" + i);
--- a/src/main/java/saltlatch/lab/plan/Links.java
+++ b/src/main/java/saltlatch/lab/plan/Links.java
@@ -57,11 +57,12 @@
       switch (f.kind()) {
         case "loss" -> copies.removeIf(d -> chance.nextDouble() < f.share());
         case "delay" -> copies.replaceAll(d -> d + f.extraMs());
-        case "reorder" -> copies.replaceAll(d -> chance.nextDouble() < f.share() ? d + f.extraMs() * chance.nextDouble() : d);
+        case "reorder" ->
+          copies.replaceAll(d -> chance.nextDouble() < f.share() ? d + f.extraMs() * chance.nextDouble() : d);
         case "duplicate" -> {
           if (!copies.isEmpty() && chance.nextDouble() < f.share()) copies.add(copies.get(0) + f.extraMs());
         }
-        default -> { }
+        default -> {}
       }
     }
     return copies;
@@ -80,6 +81,7 @@
   }
 
   private SplittableRandom chance(String a, String b) {
-    return chances.computeIfAbsent(a + ">" + b, k -> new SplittableRandom(seed * 0x9E3779B97F4A7C15L + k.hashCode()));
+    return chances.computeIfAbsent(a + ">" + b,
+        k -> new SplittableRandom(seed * 0x9E3779B97F4A7C15L + k.hashCode()));
   }
 }
--- a/src/main/java/saltlatch/lab/plan/Offered.java
+++ b/src/main/java/saltlatch/lab/plan/Offered.java
@@ -16,8 +16,8 @@
  */
 public final class Offered {
   /** One req to send: at {@code atUs} microseconds from the start; {@code leaveUs} 0 if the client waits it out. */
-  public record Arrival(long atUs, long customer, String id, boolean submit, int units, long deadlineMs, long leaveUs,
-      int eagerTries) {}
+  public record Arrival(long atUs, long customer, String id, boolean submit, int units, long deadlineMs,
+      long leaveUs, int eagerTries) {}
 
   private static final int LONGEST = 2_000_000; // arrivals at most in one run: 2M of 80 B each stay within 160 MB
 
@@ -55,8 +55,8 @@
       ByteBuffer b = ByteBuffer.allocate(64);
       for (Arrival a : arrivals) {
         b.clear();
-        b.putLong(a.atUs).putLong(a.customer).putLong(a.id.hashCode()).put((byte) (a.submit ? 1 : 0)).putInt(a.units)
-            .putLong(a.deadlineMs).putLong(a.leaveUs).putInt(a.eagerTries);
+        b.putLong(a.atUs).putLong(a.customer).putLong(a.id.hashCode()).put((byte) (a.submit ? 1 : 0))
+            .putInt(a.units).putLong(a.deadlineMs).putLong(a.leaveUs).putInt(a.eagerTries);
         md.update(b.array(), 0, b.position());
       }
       return HexFormat.of().formatHex(md.digest());
--- a/src/main/java/saltlatch/lab/plan/Timeline.java
+++ b/src/main/java/saltlatch/lab/plan/Timeline.java
@@ -8,7 +8,14 @@
 /** The scenario's process faults as single steps in order of time, all of one instant together. No I/O. */
 public final class Timeline {
   /** What is done to a process. */
-  public enum Act { KILL, TERM, STOP, CONT, START, START_OLD }
+  public enum Act {
+    KILL,
+    TERM,
+    STOP,
+    CONT,
+    START,
+    START_OLD
+  }
 
   /** At {@code atMs} from the load's start, to these nodes at once. */
   public record Step(double atMs, Act act, List<Integer> nodes) {}
@@ -23,7 +30,8 @@
         add(steps, f, f.atS() * 1000, hit);
         continue;
       }
-      for (int i = 0; i < hit.size(); i++) add(steps, f, (f.atS() + i * f.stepS()) * 1000, List.of(hit.get(i)));
+      for (int i = 0; i < hit.size(); i++)
+        add(steps, f, (f.atS() + i * f.stepS()) * 1000, List.of(hit.get(i)));
     }
     steps.sort(Comparator.comparingDouble(Step::atMs)); // stable: the faults' order holds within an instant
     return steps;
@@ -38,6 +46,7 @@
         if (f.forS() > 0) steps.add(new Step(at + f.forS() * 1000, Act.CONT, hit));
       }
     }
-    if (f.restart()) steps.add(new Step(at + f.backS() * 1000, f.oldConfig() ? Act.START_OLD : Act.START, hit));
+    if (f.restart())
+      steps.add(new Step(at + f.backS() * 1000, f.oldConfig() ? Act.START_OLD : Act.START, hit));
   }
 }
--- a/src/main/java/saltlatch/lab/plan/Truth.java
+++ b/src/main/java/saltlatch/lab/plan/Truth.java
@@ -70,7 +70,8 @@
       return;
     }
     units += s.units;
-    unitsBySecond.computeIfAbsent(s.customer, c -> new TreeMap<>()).merge(ms / 1000, (long) s.units, Long::sum);
+    unitsBySecond.computeIfAbsent(s.customer, c -> new TreeMap<>()).merge(ms / 1000, (long) s.units,
+        Long::sum);
   }
 
   public Sums sums() {
--- a/src/main/java/saltlatch/lab/rig/Processes.java
+++ b/src/main/java/saltlatch/lab/rig/Processes.java
@@ -70,7 +70,8 @@
   public void start(int n) throws IOException, InterruptedException {
     Files.createDirectories(program.dir);
     // Guards against nodes that outlive a lab that was ended from outside: they would keep ports and cores.
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> List.copyOf(processes).forEach(Process::destroyForcibly)));
+    Runtime.getRuntime()
+        .addShutdownHook(new Thread(() -> List.copyOf(processes).forEach(Process::destroyForcibly)));
     for (int i = 0; i < n; i++) {
       ports.add(hold());
       processes.add(launch(i, false));
@@ -78,7 +79,8 @@
     long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MS);
     for (int i = 0; i < n; i++) {
       while (!answers(i)) {
-        if (System.nanoTime() > until) throw new IOException("node " + i + " not ready in " + READY_MS + " ms");
+        if (System.nanoTime() > until)
+          throw new IOException("node " + i + " not ready in " + READY_MS + " ms");
         Thread.sleep(LOOK_MS);
       }
     }
@@ -108,8 +110,8 @@
 
   private Process launch(int i, boolean old) throws IOException {
     Path config = program.dir.resolve("n" + i + ".json");
-    Files.writeString(config, configs.apply(i, old)
-        .replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + ports.get(i) + "\""));
+    Files.writeString(config, configs.apply(i, old).replace("\"listen\":\"127.0.0.1:0\"",
+        "\"listen\":\"127.0.0.1:" + ports.get(i) + "\""));
     List<String> cmd = new ArrayList<>(List.of("java"));
     cmd.addAll(program.jvmFlags);
     cmd.addAll(List.of("-jar", program.jar.toString(), "serve"));
@@ -173,7 +175,8 @@
 
   private boolean answers(int i) {
     try {
-      return ask(i, "*1\r\n$4\r\nPING\r\n") instanceof Resp.Line l && l.type() == '+' && l.text().startsWith("PONG");
+      return ask(i, "*1\r\n$4\r\nPING\r\n") instanceof Resp.Line l && l.type() == '+'
+          && l.text().startsWith("PONG");
     } catch (IOException e) {
       return false;
     }
--- a/src/main/java/saltlatch/lab/rig/Relays.java
+++ b/src/main/java/saltlatch/lab/rig/Relays.java
@@ -165,7 +165,8 @@
           lastDue = Math.max(lastDue, now + links.stream(from, to, now));
           if (n < 0) ended = true;
           else bytes += n;
-          held.add(new Chunk(n < 0 ? null : b, lastDue, readNs, lastDue <= now && !links.cut(from, to, now), false));
+          held.add(new Chunk(n < 0 ? null : b, lastDue, readNs, lastDue <= now && !links.cut(from, to, now),
+              false));
         }
       } catch (IOException e) {
         ended = true;
@@ -178,7 +179,8 @@
     void write() {
       double now = clock.nowMs();
       try {
-        while (!held.isEmpty() && dst.isConnected() && held.peek().dueMs <= now && !links.cut(from, to, now)) {
+        while (!held.isEmpty() && dst.isConnected() && held.peek().dueMs <= now
+            && !links.cut(from, to, now)) {
           Chunk c = held.peek();
           if (c.reset) {
             pipe.reset();
@@ -213,7 +215,8 @@
       if (in == null || !in.isValid() || !src.isConnected()) return;
       boolean blocked = !other.held.isEmpty() && other.held.peek().bytes != null
           && other.held.peek().bytes.position() > 0;
-      in.interestOps((ended || bytes >= MOST_HELD ? 0 : SelectionKey.OP_READ) | (blocked ? SelectionKey.OP_WRITE : 0));
+      in.interestOps(
+          (ended || bytes >= MOST_HELD ? 0 : SelectionKey.OP_READ) | (blocked ? SelectionKey.OP_WRITE : 0));
     }
   }
 
--- a/src/main/java/saltlatch/lab/run/Lab.java
+++ b/src/main/java/saltlatch/lab/run/Lab.java
@@ -78,7 +78,8 @@
     History standIns = dir == null ? null : new History(dir, "stand-ins", "1");
     History clients = dir == null ? null : new History(dir, "clients", "1");
     History director = dir == null ? null : new History(dir, "director", "1");
-    Relays relays = s.links().faults().isEmpty() ? null : new Relays(new Links(s.links().faults(), s.seed()), clock);
+    Relays relays = s.links().faults().isEmpty() ? null
+        : new Relays(new Links(s.links().faults(), s.seed()), clock);
     Emulator emulator = new Emulator(s, clock, relays, standIns,
         dir == null ? null : dir.toAbsolutePath().toString());
     Processes processes = program == null ? null : new Processes(program, emulator::nodeConfig);
@@ -87,16 +88,16 @@
     LoadRunner load = null;
     try {
       if (processes != null) processes.start(s.nodes());
-      for (int i = 0; i < s.nodes(); i++) started.add(processes == null ? embedded(emulator.nodeConfig(i))
-          : child(processes, i));
+      for (int i = 0; i < s.nodes(); i++)
+        started.add(processes == null ? embedded(emulator.nodeConfig(i)) : child(processes, i));
       List<Integer> ports = new ArrayList<>();
       for (int i = 0; i < s.nodes(); i++) {
         int port = started.get(i).port();
         ports.add(relays == null ? port : relays.port("clients", "n" + i, port));
       }
       List<Offered.Arrival> schedule = Offered.of(s);
-      LOG.info("{}: {} nodes, {} app servers, {} reqs offered over {} s", s.name(), s.nodes(), s.servers().count(),
-          schedule.size(), s.seconds());
+      LOG.info("{}: {} nodes, {} app servers, {} reqs offered over {} s", s.name(), s.nodes(),
+          s.servers().count(), schedule.size(), s.seconds());
       OperatingSystemMXBean os = (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
       long cpuBefore = os.getProcessCpuTime();
       load = new LoadRunner(s, schedule, ports, clock, clients);
@@ -116,11 +117,12 @@
       List<Map<String, Long>> nodeCounters = new ArrayList<>();
       for (Node n : started) nodeCounters.add(n.figures());
       LoadRunner l = load;
-      RunResult.Truth truth = emulator.read(t -> truth(t, l.passedIds(), s)).toCompletionStage().toCompletableFuture()
-          .get(5, TimeUnit.SECONDS);
+      RunResult.Truth truth = emulator.read(t -> truth(t, l.passedIds(), s)).toCompletionStage()
+          .toCompletableFuture().get(5, TimeUnit.SECONDS);
       List<RunResult.Customer> customers = emulator.read(t -> customers(t, s)).toCompletionStage()
           .toCompletableFuture().get(5, TimeUnit.SECONDS);
-      Map<String, Long> emu = emulator.figures().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+      Map<String, Long> emu = emulator.figures().toCompletionStage().toCompletableFuture().get(5,
+          TimeUnit.SECONDS);
       RunResult.Process process = new RunResult.Process(cpu, rssMb(), Thread.activeCount());
       List<RunResult.Check> checks = checks(truth, load, nodeCounters, !faults.isEmpty());
       if (processes != null) processes.close();
@@ -133,20 +135,26 @@
       }
       for (Property p : properties(s)) {
         List<Property.Violation> found = p.check(history);
-        if (dir != null) checks.add(new RunResult.Check(p.name(), found.isEmpty(), found.size() + " violations in "
-            + history.size() + " events" + (found.isEmpty() ? "" : ", first: " + found.get(0).what())));
-        for (Property.Violation v : found) violations.add(v.property() + ": " + v.what() + " "
-            + v.proof().stream().map(Line::at).toList());
+        if (dir != null)
+          checks.add(new RunResult.Check(p.name(), found.isEmpty(), found.size() + " violations in "
+              + history.size() + " events" + (found.isEmpty() ? "" : ", first: " + found.get(0).what())));
+        for (Property.Violation v : found)
+          violations.add(v.property() + ": " + v.what() + " " + v.proof().stream().map(Line::at).toList());
       }
-      if (dir != null) faults = faults.stream().map(f -> new RunResult.Fault(f.what(), f.nodes(), f.fromS(), f.untilS(),
-          Recovery.beyond(history, s.plan().rate(), s.plan().burst(), clock.monoNs(f.fromS() * 1000),
-              clock.monoNs((f.untilS() + AFTER_S) * 1000)))).toList();
-      double recovery = faults.isEmpty() || dir == null ? 0 : Recovery.seconds(history, clock.monoNs(0),
-          faults.get(0).fromS(), s.seconds(), survivors(s));
+      if (dir != null)
+        faults = faults.stream()
+            .map(
+                f -> new RunResult.Fault(f.what(), f.nodes(), f.fromS(), f.untilS(),
+                    Recovery.beyond(history, s.plan().rate(), s.plan().burst(),
+                        clock.monoNs(f.fromS() * 1000), clock.monoNs((f.untilS() + AFTER_S) * 1000))))
+            .toList();
+      double recovery = faults.isEmpty() || dir == null ? 0
+          : Recovery.seconds(history, clock.monoNs(0), faults.get(0).fromS(), s.seconds(), survivors(s));
       return new RunResult(s.name(), s.json(), s.seed(), Offered.digest(schedule), s.seconds(), s.nodes(),
-          s.servers().count(), schedule.size(), load.tries(), load.outcomes(), load.retryAfter(), load.deniedWithRoom(),
-          load.latency(), load.senderLate(), load.perSecond(), truth, emu, nodeCounters, customers, process, checks, faults,
-          relays == null ? Map.of() : relays.delayUs(), violations, recovery, MemberTimes.of(history));
+          s.servers().count(), schedule.size(), load.tries(), load.outcomes(), load.retryAfter(),
+          load.deniedWithRoom(), load.latency(), load.senderLate(), load.perSecond(), truth, emu,
+          nodeCounters, customers, process, checks, faults, relays == null ? Map.of() : relays.delayUs(),
+          violations, recovery, MemberTimes.of(history));
     } finally {
       if (processes != null) processes.close();
       for (Node n : started) n.stop();
@@ -175,9 +183,10 @@
       List<Integer> hit = Group.of(f.nodes()).nodes(s.nodes());
       for (int i = 0; i < hit.size(); i++) {
         double from = f.atS() + i * f.stepS();
-        double lasts = f.kind().equals("pause") ? f.forS() > 0 ? f.forS() : s.seconds() : f.restart() ? f.backS() : 0;
-        out.add(new RunResult.Fault(f.kind() + (f.restart() ? ", restart" : ""), List.of("n" + hit.get(i)), from,
-            from + lasts, 0));
+        double lasts = f.kind().equals("pause") ? f.forS() > 0 ? f.forS() : s.seconds()
+            : f.restart() ? f.backS() : 0;
+        out.add(new RunResult.Fault(f.kind() + (f.restart() ? ", restart" : ""), List.of("n" + hit.get(i)),
+            from, from + lasts, 0));
       }
     }
     for (Scenario.LinkFault f : s.links().faults()) {
@@ -185,8 +194,8 @@
       for (int n = 0; n < s.nodes(); n++) {
         if (Group.of(f.from()).holds("n" + n) || Group.of(f.to()).holds("n" + n)) names.add("n" + n);
       }
-      out.add(new RunResult.Fault(f.kind() + " " + f.from() + (f.oneWay() ? " > " : " - ") + f.to(), names, f.atS(),
-          end(f.atS(), f.forS(), s), 0));
+      out.add(new RunResult.Fault(f.kind() + " " + f.from() + (f.oneWay() ? " > " : " - ") + f.to(), names,
+          f.atS(), end(f.atS(), f.forS(), s), 0));
     }
     for (Scenario.Fault f : s.servers().faults()) {
       if (f.kind().equals("idle_close")) continue;
@@ -247,9 +256,10 @@
 
       @Override
       public Map<String, Long> figures() throws Exception {
-        Map<String, Long> m = Processes.counters(e.figures().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS));
-        m.put("loop_cpu_ms", e.loopCpuNanos().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS)
-            / 1_000_000);
+        Map<String, Long> m = Processes
+            .counters(e.figures().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS));
+        m.put("loop_cpu_ms",
+            e.loopCpuNanos().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS) / 1_000_000);
         return m;
       }
 
@@ -287,7 +297,8 @@
     Map<Long, Double> beyond = t.beyondPlan(s.plan().rate(), s.plan().burst());
     List<RunResult.Customer> out = new ArrayList<>();
     for (long c : t.heaviest(8)) {
-      out.add(new RunResult.Customer(c, t.perSecond(c), s.plan().rate(), s.plan().burst(), beyond.getOrDefault(c, 0.0)));
+      out.add(new RunResult.Customer(c, t.perSecond(c), s.plan().rate(), s.plan().burst(),
+          beyond.getOrDefault(c, 0.0)));
     }
     return out;
   }
@@ -307,9 +318,9 @@
     long clientPassed = load.outcomes().get(Outcome.PASSED);
     long unseen = load.outcomes().get(Outcome.LEFT) + load.outcomes().get(Outcome.TIMED_OUT)
         + load.outcomes().get(Outcome.BROKEN);
-    out.add(new RunResult.Check("nodes and clients agree on passed", nodePassed >= clientPassed
-        && nodePassed - clientPassed <= unseen, "nodes " + nodePassed + ", clients " + clientPassed
-        + ", of which clients could have missed " + unseen));
+    out.add(new RunResult.Check("nodes and clients agree on passed",
+        nodePassed >= clientPassed && nodePassed - clientPassed <= unseen, "nodes " + nodePassed
+            + ", clients " + clientPassed + ", of which clients could have missed " + unseen));
     return out;
   }
 
--- a/src/main/java/saltlatch/lab/scenario/Scenario.java
+++ b/src/main/java/saltlatch/lab/scenario/Scenario.java
@@ -20,8 +20,8 @@
  * @param nodes edge nodes started by {@code lab}
  */
 public record Scenario(String name, long seed, double seconds, int nodes, Servers servers, Counter counter,
-    Discovery discovery, Peers peers, Load load, Plan plan, Plan oldPlan, Front front, Processes processes, Links links,
-    Bounds bounds, Drawn drawn) {
+    Discovery discovery, Peers peers, Load load, Plan plan, Plan oldPlan, Front front, Processes processes,
+    Links links, Bounds bounds, Drawn drawn) {
 
   /** Faults drawn from the seed: nodes killed and stopped from {@code at_s} on, then splits (lab.plan.Drawn). */
   public record Drawn(int kills, int pauses, int splits, double atS) {}
@@ -43,16 +43,16 @@
    * {@code nodes}, all at one instant or {@code step_s} apart (rolling). {@code restart}: started again under the same
    * name {@code back_s} after that, with {@code old_plan} where {@code old_config} says so.
    */
-  public record ProcessFault(String kind, double atS, double forS, String nodes, double stepS, boolean restart,
-      double backS, boolean oldConfig) {}
+  public record ProcessFault(String kind, double atS, double forS, String nodes, double stepS,
+      boolean restart, double backS, boolean oldConfig) {}
 
   /**
    * {@code cut}, {@code loss} ({@code share}), {@code delay} ({@code extra_ms}), {@code duplicate} and {@code reorder}
    * ({@code share}, {@code extra_ms}; datagrams), {@code flap} (dead for the first half of each {@code period_ms}),
    * between two groups, both ways unless {@code one_way}.
    */
-  public record LinkFault(String kind, double atS, double forS, String from, String to, boolean oneWay, double share,
-      double extraMs, double periodMs) {
+  public record LinkFault(String kind, double atS, double forS, String from, String to, boolean oneWay,
+      double share, double extraMs, double periodMs) {
     public boolean holds(double ms) {
       return within(atS, forS, ms);
     }
@@ -65,20 +65,20 @@
 
   /** The same with another number of nodes. */
   public Scenario withNodes(int n) {
-    return new Scenario(name, seed, seconds, n, servers, counter, discovery, peers, load, plan, oldPlan, front, processes,
-        links, bounds, drawn);
+    return new Scenario(name, seed, seconds, n, servers, counter, discovery, peers, load, plan, oldPlan,
+        front, processes, links, bounds, drawn);
   }
 
   /** The same with other faults on processes and links. */
   public Scenario withFaults(List<ProcessFault> onProcesses, List<LinkFault> onLinks) {
-    return new Scenario(name, seed, seconds, nodes, servers, counter, discovery, peers, load, plan, oldPlan, front,
-        new Processes(List.copyOf(onProcesses)), new Links(List.copyOf(onLinks)), bounds, null);
+    return new Scenario(name, seed, seconds, nodes, servers, counter, discovery, peers, load, plan, oldPlan,
+        front, new Processes(List.copyOf(onProcesses)), new Links(List.copyOf(onLinks)), bounds, null);
   }
 
   /** The same with another seed. */
   public Scenario withSeed(long other) {
-    return new Scenario(name, other, seconds, nodes, servers, counter, discovery, peers, load, plan, oldPlan, front,
-        processes, links, bounds, drawn);
+    return new Scenario(name, other, seconds, nodes, servers, counter, discovery, peers, load, plan, oldPlan,
+        front, processes, links, bounds, drawn);
   }
 
   /** The app servers: {@code count} of them, latency lognormal by median and 99th percentile. */
@@ -120,8 +120,8 @@
    * latency; {@code idle_ms} the idle time after which connections close; {@code ramp_s} a cold start's warm-up;
    * {@code from} the share of capacity a cold server starts with; {@code groups} the nodes' split ({@code split}).
    */
-  public record Fault(String kind, double atS, double forS, int first, int count, double extraMs, double idleMs,
-      double rampS, double from, int groups) {
+  public record Fault(String kind, double atS, double forS, int first, int count, double extraMs,
+      double idleMs, double rampS, double from, int groups) {
     /** True while the fault holds at {@code ms} since the start. */
     public boolean holds(double ms) {
       return within(atS, forS, ms);
@@ -166,10 +166,11 @@
 
   private Scenario withDefaults() {
     Servers s = servers == null ? new Servers(4, 5, 30, 64, 0, List.of()) : servers;
-    s = new Servers(pos(s.count, 4), s.medianMs > 0 ? s.medianMs : 5, s.p99Ms > 0 ? s.p99Ms : 6 * Math.max(1, s.medianMs),
-        pos(s.concurrency, 64), s.idleCloseMs, faults(s.faults));
-    Counter c = counter == null ? new Counter(0.2, 0, 0, List.of())
-        : new Counter(counter.latencyMs, counter.callsPerSecond, pos(counter.line, 32), faults(counter.faults));
+    s = new Servers(pos(s.count, 4), s.medianMs > 0 ? s.medianMs : 5,
+        s.p99Ms > 0 ? s.p99Ms : 6 * Math.max(1, s.medianMs), pos(s.concurrency, 64), s.idleCloseMs,
+        faults(s.faults));
+    Counter c = counter == null ? new Counter(0.2, 0, 0, List.of()) : new Counter(counter.latencyMs,
+        counter.callsPerSecond, pos(counter.line, 32), faults(counter.faults));
     Discovery d = new Discovery(discovery == null ? List.of() : faults(discovery.faults));
     Peers p = peers == null ? new Peers(0, 0, 0, false) : peers;
     Load l = load == null ? new Load(100, 20, 1.0, 0.2, 1, 1, 3000, 0, 0.5, 0, 0, 64, List.of()) : load;
@@ -178,9 +179,10 @@
         l.giveUpAt > 0 ? l.giveUpAt : 0.5, l.eagerShare, l.eagerTries, pos(l.connectionsPerNode, 64),
         l.bursts == null ? List.of() : List.copyOf(l.bursts));
     Plan q = plan == null ? new Plan(20, 100, 1000, 3000) : plan;
-    Scenario out = new Scenario(name == null ? "unnamed" : name, seed, seconds > 0 ? seconds : 20, pos(nodes, 1), s, c,
-        d, p, l, q, oldPlan == null ? q : oldPlan, front == null ? new Front(0) : front,
-        new Processes(processes == null || processes.faults == null ? List.of() : List.copyOf(processes.faults)),
+    Scenario out = new Scenario(name == null ? "unnamed" : name, seed, seconds > 0 ? seconds : 20,
+        pos(nodes, 1), s, c, d, p, l, q, oldPlan == null ? q : oldPlan, front == null ? new Front(0) : front,
+        new Processes(
+            processes == null || processes.faults == null ? List.of() : List.copyOf(processes.faults)),
         new Links(links == null || links.faults == null ? List.of() : List.copyOf(links.faults)),
         bounds == null ? new Bounds(0) : bounds, drawn);
     out.check();
@@ -196,7 +198,8 @@
     must(peers.loss >= 0 && peers.loss <= 1, "peers.loss: a share from 0 to 1");
     for (ProcessFault f : processes.faults) {
       must(List.of("kill", "term", "pause").contains(f.kind), "processes.faults: kind not known: " + f.kind);
-      must(f.nodes != null && !Group.of(f.nodes).nodes(nodes).isEmpty(), "processes.faults: no such nodes: " + f.nodes);
+      must(f.nodes != null && !Group.of(f.nodes).nodes(nodes).isEmpty(),
+          "processes.faults: no such nodes: " + f.nodes);
     }
     for (LinkFault f : links.faults) {
       must(List.of("cut", "loss", "delay", "duplicate", "reorder", "flap").contains(f.kind),
@@ -213,8 +216,8 @@
   }
 
   /** Every kind of fault that the emulator plays. */
-  public static final List<String> KINDS = List.of("slow", "pause", "fail_fast", "spoil", "idle_close", "cold_start",
-      "refuse", "silent", "empty", "split", "late", "stale");
+  public static final List<String> KINDS = List.of("slow", "pause", "fail_fast", "spoil", "idle_close",
+      "cold_start", "refuse", "silent", "empty", "split", "late", "stale");
 
   private static List<Fault> faults(List<Fault> list) {
     return list == null ? List.of() : List.copyOf(list);
--- a/src/main/java/saltlatch/member/Membership.java
+++ b/src/main/java/saltlatch/member/Membership.java
@@ -166,7 +166,8 @@
     if (now - startedAt > terms.leaseOver()) return true;
     long second = startSecond + (now - startedAt) / SECOND;
     for (Peer other : peers) {
-      if (other.state == State.UNKNOWN || second - other.incarnation > terms.leaseOver() / 2 / SECOND) return false;
+      if (other.state == State.UNKNOWN || second - other.incarnation > terms.leaseOver() / 2 / SECOND)
+        return false;
     }
     return true;
   }
@@ -206,7 +207,8 @@
       send(r.requester, Kind.NACK, r.seq, r.target);
     }
     for (int i = 0; i < peers.length; i++) {
-      if (peers[i].state == State.SUSPECT && now >= peers[i].suspectUntil) set(i, State.FAILED, peers[i].incarnation);
+      if (peers[i].state == State.SUSPECT && now >= peers[i].suspectUntil)
+        set(i, State.FAILED, peers[i].incarnation);
     }
     if (now >= nextPeriod) period(now);
   }
@@ -302,7 +304,8 @@
     switch (m.kind()) {
       case PING -> send(from, Kind.ACK, m.seq(), me);
       case ASK -> {
-        if (m.target() < 0 || m.target() >= peers.length || m.target() == me || relays.size() >= peers.length) return;
+        if (m.target() < 0 || m.target() >= peers.length || m.target() == me || relays.size() >= peers.length)
+          return;
         relays.put(++seq, new Relay(from, m.seq(), m.target(),
             now + (long) ((Terms.RELAYED - Terms.DIRECT) * terms.period())));
         send(m.target(), Kind.PING, seq, m.target());
--- a/src/main/java/saltlatch/member/Message.java
+++ b/src/main/java/saltlatch/member/Message.java
@@ -7,11 +7,23 @@
  * {@code vouches}: it has not held the receiver failed or left for a lease; {@code digest} stands for the sender's whole view,
  * so that two that differ notice.
  */
-public record Message(Kind kind, int seq, int target, long incarnation, long digest, boolean vouches, List<News> news) {
-  public enum Kind { PING, ACK, ASK, NACK }
+public record Message(Kind kind, int seq, int target, long incarnation, long digest, boolean vouches,
+    List<News> news) {
+  public enum Kind {
+    PING,
+    ACK,
+    ASK,
+    NACK
+  }
 
   /** What a member is held to be, in the order in which later ones override earlier ones of the same incarnation. */
-  public enum State { UNKNOWN, ALIVE, SUSPECT, FAILED, LEFT }
+  public enum State {
+    UNKNOWN,
+    ALIVE,
+    SUSPECT,
+    FAILED,
+    LEFT
+  }
 
   /** A member's state in an incarnation of it; of a suspicion, who raised it. */
   public record News(int member, State state, long incarnation, int by) {}
--- a/src/main/java/saltlatch/member/Terms.java
+++ b/src/main/java/saltlatch/member/Terms.java
@@ -27,7 +27,8 @@
 
   /** {@code intake}: datagrams a second that a node takes in; 0 leaves membership off, which is the host's to know. */
   public static Terms of(int members, double intake) {
-    return new Terms(members, Math.max(LEAST_PERIOD, (long) Math.ceil(10_000 * WORST_COST / (INTAKE_PART * intake))));
+    return new Terms(members,
+        Math.max(LEAST_PERIOD, (long) Math.ceil(10_000 * WORST_COST / (INTAKE_PART * intake))));
   }
 
   private double log2() {
@@ -50,7 +51,8 @@
   /** How long a suspicion lasts that so many others confirm, as Lifeguard lets it shrink. */
   long suspect(int confirmations) {
     double part = Math.log(confirmations + 1) / Math.log(CONFIRMED + 1);
-    return Math.max(suspectLeast(), (long) (suspectMost() - (suspectMost() - suspectLeast()) * Math.min(1, part)));
+    return Math.max(suspectLeast(),
+        (long) (suspectMost() - (suspectMost() - suspectLeast()) * Math.min(1, part)));
   }
 
   private long spread() {
--- a/src/main/java/saltlatch/node/Pilot.java
+++ b/src/main/java/saltlatch/node/Pilot.java
@@ -34,8 +34,15 @@
  * Makes the module's events of what the sockets bring, and does what the module wants. All of it runs on one event
  * loop: what one turn of the loop brings goes to the module in one batch. It decides nothing.
  */
-final class Pilot implements Actions, Desk, Door.Host, AppServers.Host, CounterClient.Host, Discovery.Host,
-    Peers.Host {
+final class Pilot
+    implements
+      Actions,
+      Desk,
+      Door.Host,
+      AppServers.Host,
+      CounterClient.Host,
+      Discovery.Host,
+      Peers.Host {
   private static final Logger LOG = LoggerFactory.getLogger(Pilot.class);
 
   private final Vertx vertx;
@@ -202,8 +209,8 @@
 
   /** A req that the module failed on gets its final answer here, and the module is told that it is gone. */
   private void drop(Event e) {
-    long rid = e instanceof Event.Arrived a ? a.rid() : e instanceof Event.Ended d ? d.rid()
-        : e instanceof Event.Due d ? d.handle() : -1;
+    long rid = e instanceof Event.Arrived a ? a.rid()
+        : e instanceof Event.Ended d ? d.rid() : e instanceof Event.Due d ? d.handle() : -1;
     Exchange x = exchanges.find(rid);
     if (x != null && !x.over()) abandon(x);
   }
@@ -238,8 +245,8 @@
       history.add("arrived", "id", req.id, "customer", Long.toHexString(req.customer), "units", req.units,
           "wait_ms", req.waitMs, "age_ms", age / 10, "query", req.query);
     }
-    add(new Event.Arrived(x.rid, frontend, plan, req.customer, req.waitMs * 10, req.units, req.width, req.first,
-        req.repeat, age));
+    add(new Event.Arrived(x.rid, frontend, plan, req.customer, req.waitMs * 10, req.units, req.width,
+        req.first, req.repeat, age));
     return x;
   }
 
@@ -255,7 +262,8 @@
   @Override
   public void ended(Exchange x, int dispatch, int srv, Answer answer, long spent) {
     if (history != null) {
-      history.add("ended", "id", x.req.id, "srv", srvs.name(srv), "dispatch", dispatch, "how", answer.ending().name());
+      history.add("ended", "id", x.req.id, "srv", srvs.name(srv), "dispatch", dispatch, "how",
+          answer.ending().name());
     }
     if (answer.ending() == Ending.ANSWERED) {
       told(x, "passed");
@@ -360,7 +368,8 @@
     if (x == null) return;
     int dispatch = exchanges.begin(x);
     if (history != null) {
-      history.add("dispatched", "id", x.req.id, "srv", srvs.name((int) srv), "dispatch", dispatch, "cap_ms", cap / 10);
+      history.add("dispatched", "id", x.req.id, "srv", srvs.name((int) srv), "dispatch", dispatch, "cap_ms",
+          cap / 10);
     }
     try {
       appServers.dispatch(x, dispatch, (int) srv, cap);
--- a/src/main/java/saltlatch/node/Roster.java
+++ b/src/main/java/saltlatch/node/Roster.java
@@ -39,7 +39,8 @@
     terms = Terms.of(station.site().nodes(), station.site().peers().intake());
     long now = desk.now();
     shares = new Shares(station.site().peers().me(), terms.members());
-    membership = new Membership(terms, station.site().peers().me(), now / SECOND, station.site().seed(), now, this);
+    membership = new Membership(terms, station.site().peers().me(), now / SECOND, station.site().seed(), now,
+        this);
     look();
     tick();
   }
@@ -91,9 +92,9 @@
     if (!is.equals(share)) LOG.info("share {}", is);
     if (history != null && (changed || !is.equals(share))) {
       long now = desk.now();
-      history.add("share", "is", is, "part", shares.own(now, 0, terms.members()), "whole", 1.0 / terms.members(), "floor",
-          shares.own(Long.MAX_VALUE, 0, terms.members()), "holds_ms", left(told.holdsUntil()), "takes_ms",
-          left(told.takesUntil()));
+      history.add("share", "is", is, "part", shares.own(now, 0, terms.members()), "whole",
+          1.0 / terms.members(), "floor", shares.own(Long.MAX_VALUE, 0, terms.members()), "holds_ms",
+          left(told.holdsUntil()), "takes_ms", left(told.takesUntil()));
     }
     share = is;
   }
@@ -104,22 +105,15 @@
 
   /** Lines for INFO; times in ms. */
   String figures(long heardWithin) {
-    return "members_standing=" + standing.name().toLowerCase(Locale.ROOT)
-        + "\nmembers_share=" + share
-        + "\nmembers_live=" + membership.live()
-        + "\nmembers_failed=" + membership.count(Message.State.FAILED)
-        + "\nmembers_left=" + membership.count(Message.State.LEFT)
-        + "\nmembers_view=" + membership.version()
-        + "\nmembers_digest=" + Long.toHexString(membership.digest())
-        + "\nmembers_health=" + membership.health()
-        + "\nmembers_holds_ms=" + left(told.holdsUntil())
-        + "\nmembers_takes_ms=" + left(told.takesUntil())
-        + "\nmembers_t1_ms=" + terms.failedWithin() / 10
-        + "\nmembers_t2_ms=" + terms.falselyFailedAtMost() / 10
-        + "\nmembers_t3_ms=" + terms.equalWithin() / 10
-        + "\nmembers_lease_ms=" + terms.lease() / 10
-        + "\nmembers_takeover_ms=" + (terms.failedWithin() + terms.takenOverWithin()) / 10
-        + "\nmembers_b=" + (terms.members() - 1)
+    return "members_standing=" + standing.name().toLowerCase(Locale.ROOT) + "\nmembers_share=" + share
+        + "\nmembers_live=" + membership.live() + "\nmembers_failed=" + membership.count(Message.State.FAILED)
+        + "\nmembers_left=" + membership.count(Message.State.LEFT) + "\nmembers_view=" + membership.version()
+        + "\nmembers_digest=" + Long.toHexString(membership.digest()) + "\nmembers_health="
+        + membership.health() + "\nmembers_holds_ms=" + left(told.holdsUntil()) + "\nmembers_takes_ms="
+        + left(told.takesUntil()) + "\nmembers_t1_ms=" + terms.failedWithin() / 10 + "\nmembers_t2_ms="
+        + terms.falselyFailedAtMost() / 10 + "\nmembers_t3_ms=" + terms.equalWithin() / 10
+        + "\nmembers_lease_ms=" + terms.lease() / 10 + "\nmembers_takeover_ms="
+        + (terms.failedWithin() + terms.takenOverWithin()) / 10 + "\nmembers_b=" + (terms.members() - 1)
         + "\nmembers_d_ms=" + heardWithin / 10 + "\n";
   }
 
@@ -133,8 +127,8 @@
   @Override
   public void changed(int member, Message.State state, long incarnation, long version) {
     if (history != null) {
-      history.add("member", "member", "n" + member, "state", state.name().toLowerCase(Locale.ROOT), "incarnation",
-          incarnation, "view", version);
+      history.add("member", "member", "n" + member, "state", state.name().toLowerCase(Locale.ROOT),
+          "incarnation", incarnation, "view", version);
     }
   }
 }
--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -46,15 +46,16 @@
     this.station = station;
     vertx = Vertx.vertx(new VertxOptions().setPreferNativeTransport(true) // NIO's timers spin for half a ms each
         .setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
-        .setBlockedThreadCheckInterval(TimeUnit.HOURS.toMillis(1))
-        .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+        .setBlockedThreadCheckInterval(TimeUnit.HOURS.toMillis(1)).setFileSystemOptions(
+            new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
     vertx.exceptionHandler(this::unexpected);
     loop = vertx.getOrCreateContext();
     loop.exceptionHandler(this::unexpected);
-    history = station.history() == null ? null
-        : new History(station.history(), station.name(), ProcessHandle.current().pid() + "-" + System.nanoTime());
+    history = station.history() == null ? null : new History(station.history(), station.name(),
+        ProcessHandle.current().pid() + "-" + System.nanoTime());
     if (history != null) history.add("started", "nodes", station.site().nodes());
-    pilot = new Pilot(vertx, loop, station, counters, station.memoryMb() * 1024L * 1024 / BYTES_PART, history);
+    pilot = new Pilot(vertx, loop, station, counters, station.memoryMb() * 1024L * 1024 / BYTES_PART,
+        history);
     door = new Door(vertx, pilot, pilot, counters, station.clientLinks());
   }
 
@@ -119,8 +120,8 @@
       @Override
       public Future<Long> loopCpuNanos() {
         Promise<Long> out = Promise.promise();
-        serve.loop.runOnContext(x -> out.complete(
-            java.lang.management.ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime()));
+        serve.loop.runOnContext(x -> out
+            .complete(java.lang.management.ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime()));
         return out.future();
       }
 
@@ -157,8 +158,8 @@
 
   /** SIGHUP has the configuration read again, and a bad one leaves all as it is. */
   void rereadOn(Hangups hangups, Path path) {
-    hangups.then(() -> loop.runOnContext(v ->
-        vertx.executeBlocking(() -> Station.of(Files.readString(path))).onFailure(e -> {
+    hangups.then(() -> loop
+        .runOnContext(v -> vertx.executeBlocking(() -> Station.of(Files.readString(path))).onFailure(e -> {
           counters.add(Count.RELOADS_FAILED);
           LOG.warn("configuration {} can't be used, the old one stays: {}", path, e.toString());
         }).onSuccess(to -> begun.future().onSuccess(b -> pilot.move(to))))); // one that comes early waits for the start
--- a/src/main/java/saltlatch/node/Station.java
+++ b/src/main/java/saltlatch/node/Station.java
@@ -16,11 +16,10 @@
 
 /** Where this node stands and what it may use, decoded once from its configuration. Times are tenths of a ms. */
 record Station(String name, SocketAddress listen, SocketAddress discovery, SocketAddress counter,
-    SocketAddress peerListen, List<SocketAddress> peers, SocketAddress peersAll, Path history, boolean membership,
-    int memoryMb, int descriptors,
-    long connectTime, long idleTime, long countLimit, boolean mayTell, double mostUnits,
-    List<String> loadFields, List<String> frontends,
-    List<String> plans, List<String> zones, List<String> types, TargetList known, Site site) {
+    SocketAddress peerListen, List<SocketAddress> peers, SocketAddress peersAll, Path history,
+    boolean membership, int memoryMb, int descriptors, long connectTime, long idleTime, long countLimit,
+    boolean mayTell, double mostUnits, List<String> loadFields, List<String> frontends, List<String> plans,
+    List<String> zones, List<String> types, TargetList known, Site site) {
 
   private static final int OWN_DESCRIPTORS = 72; // the JVM's own, the counter's, discovery, listening, just accepted
   private static final int LEAST_DESCRIPTORS = OWN_DESCRIPTORS + 64;
@@ -51,27 +50,28 @@
     JsonObject use = Reader.part(settings, "limits");
     JsonObject limits = Reader.part(all, "limits");
     int descriptors = Reader.typed(limits, "sockets", "number", JsonElement::getAsInt);
-    if (descriptors < LEAST_DESCRIPTORS) throw new IllegalArgumentException("limits.sockets " + descriptors + " below "
-        + LEAST_DESCRIPTORS);
+    if (descriptors < LEAST_DESCRIPTORS)
+      throw new IllegalArgumentException("limits.sockets " + descriptors + " below " + LEAST_DESCRIPTORS);
     List<SocketAddress> peers = words(all, "peers").stream().map(Dial::address).toList();
     boolean membership = Reader.flag(all, "membership");
-    long seed = Reader.typed(all, "seed", "hexadecimal number", e -> Long.parseUnsignedLong(e.getAsString(), 16));
+    long seed = Reader.typed(all, "seed", "hexadecimal number",
+        e -> Long.parseUnsignedLong(e.getAsString(), 16));
     Site site = Reader.site(settings, seed);
-    if (membership && (site.peers().intake() <= 0 || peers.size() != site.nodes() || !all.has("peer_listen"))) {
+    if (membership
+        && (site.peers().intake() <= 0 || peers.size() != site.nodes() || !all.has("peer_listen"))) {
       throw new IllegalArgumentException("membership wants peer_listen, an address in peers for each of the "
           + site.nodes() + " nodes, and mayTell with peerInPerS above 0");
     }
     return new Station(Reader.word(all, "name"), address(all, "listen"), address(all, "discovery"),
         address(all, "counter"), address(all, "peer_listen"), peers, address(all, "peers_all"),
-        all.has("history") ? Path.of(all.get("history").getAsString()) : null,
-        membership, Reader.typed(limits, "memory_mb", "number", JsonElement::getAsInt), descriptors,
-        time(use, "connectTimeout"), time(use, "connIdle"), time(Reader.part(settings, "familyInfo"), "countLimit"),
-        Reader.flag(use, "mayTell"), most(Reader.part(settings, "familyInfo"), "unitsTop"),
-        words(Reader.part(settings, "report"), "fields"),
-        names(settings, "categories"), names(settings, "contracts"),
-        words(settings, "azs"), words(settings, "machineTypes"),
-        Reader.typed(all, "known", "list of app servers", e -> TargetList.of(e.getAsJsonObject())),
-        site);
+        all.has("history") ? Path.of(all.get("history").getAsString()) : null, membership,
+        Reader.typed(limits, "memory_mb", "number", JsonElement::getAsInt), descriptors,
+        time(use, "connectTimeout"), time(use, "connIdle"),
+        time(Reader.part(settings, "familyInfo"), "countLimit"), Reader.flag(use, "mayTell"),
+        most(Reader.part(settings, "familyInfo"), "unitsTop"),
+        words(Reader.part(settings, "report"), "fields"), names(settings, "categories"),
+        names(settings, "contracts"), words(settings, "azs"), words(settings, "machineTypes"),
+        Reader.typed(all, "known", "list of app servers", e -> TargetList.of(e.getAsJsonObject())), site);
   }
 
   private static long time(JsonObject from, String key) {
--- a/src/main/java/saltlatch/rules/Contradictions.java
+++ b/src/main/java/saltlatch/rules/Contradictions.java
@@ -9,7 +9,8 @@
  * What of two versions must not be acted on at once: where a node on the older one does what the newer one forbids. What a
  * newer one only allows besides overlaps harmlessly. docs/rules-design.md has the table.
  */
-public record Contradictions(Set<String> plans, Set<String> frontends, Set<String> srvs, Set<Long> customers, boolean sends) {
+public record Contradictions(Set<String> plans, Set<String> frontends, Set<String> srvs, Set<Long> customers,
+    boolean sends) {
 
   public static Contradictions between(RuleSet older, RuleSet newer) {
     Set<String> plans = new TreeSet<>();
@@ -22,15 +23,15 @@
       Site.Frontend g = newer.frontends().get(name);
       if (g == null || isTighter(f, g)) frontends.add(name);
     });
-    return new Contradictions(plans, frontends, without(newer.heldOut(), older.heldOut()), customers(older, newer),
-        newer.limits().sendCap() < older.limits().sendCap());
+    return new Contradictions(plans, frontends, without(newer.heldOut(), older.heldOut()),
+        customers(older, newer), newer.limits().sendCap() < older.limits().sendCap());
   }
 
   /** A quota, cap or ceiling that allows less; 0 stands for none at all. */
   private static boolean isTighter(Site.Plan p, Site.Plan q) {
-    return less(p.rate(), q.rate()) || q.rate() > 0 && p.rate() > 0 && q.burst() < p.burst() || less(p.parallel(), q.parallel())
-        || less(p.ceilingRate(), q.ceilingRate()) || q.ceilingRate() > 0 && p.ceilingRate() > 0
-        && q.ceilingBurst() < p.ceilingBurst();
+    return less(p.rate(), q.rate()) || q.rate() > 0 && p.rate() > 0 && q.burst() < p.burst()
+        || less(p.parallel(), q.parallel()) || less(p.ceilingRate(), q.ceilingRate())
+        || q.ceilingRate() > 0 && p.ceilingRate() > 0 && q.ceilingBurst() < p.ceilingBurst();
   }
 
   private static boolean less(double older, double newer) {
--- a/src/main/java/saltlatch/rules/Council.java
+++ b/src/main/java/saltlatch/rules/Council.java
@@ -14,7 +14,8 @@
   private record Heard(Follower.Report report, long at) {}
 
   /** A node as {@code rules status} shows it. */
-  public record Seen(String node, Version acts, Version prepared, String reason, long silentFor, boolean live) {}
+  public record Seen(String node, Version acts, Version prepared, String reason, long silentFor,
+      boolean live) {}
 
   private final Terms terms;
   private final Map<String, Heard> heard = new TreeMap<>();
@@ -71,8 +72,8 @@
 
   public List<Seen> seen(long now) {
     List<Seen> out = new ArrayList<>();
-    heard.forEach((node, h) -> out.add(new Seen(node, h.report.acts(), h.report.prepared(), h.report.reason(), now - h.at,
-        isLive(h, now))));
+    heard.forEach((node, h) -> out.add(
+        new Seen(node, h.report.acts(), h.report.prepared(), h.report.reason(), now - h.at, isLive(h, now))));
     return out;
   }
 }
--- a/src/main/java/saltlatch/rules/Follower.java
+++ b/src/main/java/saltlatch/rules/Follower.java
@@ -45,7 +45,8 @@
   private long due;
 
   /** {@code last}: the last good version that the node kept, or null; it is not acted on before a keeper confirms it. */
-  public Follower(String name, Terms terms, RuleSet last, long seed, long now, Objections objections, Out out) {
+  public Follower(String name, Terms terms, RuleSet last, long seed, long now, Objections objections,
+      Out out) {
     this.name = name;
     this.terms = terms;
     this.objections = objections;
--- a/src/main/java/saltlatch/rules/Register.java
+++ b/src/main/java/saltlatch/rules/Register.java
@@ -62,7 +62,8 @@
     if (op instanceof Op.Put p) return put(p);
     if (op instanceof Op.Activate a) return activate(a.version());
     Op.Reject r = (Op.Reject) op;
-    if (offered == null || !offered.version().equals(r.version())) return "old: " + r.version() + " is not offered";
+    if (offered == null || !offered.version().equals(r.version()))
+      return "old: " + r.version() + " is not offered";
     end(new Outcome(r.version(), false, r.node() + ": " + r.reason()));
     return "rejected " + r.version();
   }
--- a/src/main/java/saltlatch/rules/RuleSet.java
+++ b/src/main/java/saltlatch/rules/RuleSet.java
@@ -14,15 +14,18 @@
  * are sorted, so that one rule set has one form and one hash. {@code pins}: keys ({@code plans.NAME}, {@code frontends.NAME},
  * {@code heldOut}, {@code customers}, {@code sendCap}) that no later version of the same epoch tightens.
  */
-public record RuleSet(Version version, Map<String, Site.Plan> plans, Map<String, Site.Frontend> frontends, Limits limits,
-    SortedSet<String> heldOut, SortedSet<Long> barred, SortedSet<Long> exempt, SortedSet<String> roster, SortedSet<String> pins,
-    Expired expired) {
+public record RuleSet(Version version, Map<String, Site.Plan> plans, Map<String, Site.Frontend> frontends,
+    Limits limits, SortedSet<String> heldOut, SortedSet<Long> barred, SortedSet<Long> exempt,
+    SortedSet<String> roster, SortedSet<String> pins, Expired expired) {
 
   /** {@code sendCap}: dispatches of a req at most; {@code longestPause}: the most that a client is told to wait. */
   public record Limits(int sendCap, long longestPause) {}
 
   /** What becomes of a rule set whose successor may be in force unknown to a node: it denies, or the successor waits. */
-  public enum Expired { DENY, WAIT }
+  public enum Expired {
+    DENY,
+    WAIT
+  }
 
   public RuleSet {
     plans = new TreeMap<>(plans);
@@ -36,8 +39,8 @@
 
   /** Whether no later version of this epoch forbids what this one allows of such reqs. */
   public boolean isPinned(String plan, String frontend) {
-    return pins.contains("plans." + plan) && pins.contains("frontends." + frontend) && pins.contains("customers")
-        && pins.contains("sendCap");
+    return pins.contains("plans." + plan) && pins.contains("frontends." + frontend)
+        && pins.contains("customers") && pins.contains("sendCap");
   }
 
   public RuleSet as(Version v) {
@@ -50,15 +53,20 @@
     if (plans.isEmpty()) out.add("plans: none");
     if (frontends.isEmpty()) out.add("frontends: none");
     plans.forEach((name, p) -> {
-      if (!(p.rate() >= 0) || p.rate() > 0 && !(p.burst() > 0)) out.add("plans." + name + ": a rate wants a burst above 0");
-      if (p.ceilingRate() < 0 || p.ceilingBurst() < 0 || p.parallel() < 0) out.add("plans." + name + ": below 0");
+      if (!(p.rate() >= 0) || p.rate() > 0 && !(p.burst() > 0))
+        out.add("plans." + name + ": a rate wants a burst above 0");
+      if (p.ceilingRate() < 0 || p.ceilingBurst() < 0 || p.parallel() < 0)
+        out.add("plans." + name + ": below 0");
     });
     frontends.forEach((name, f) -> {
-      if (f.target() <= 0 || f.clientTimeout() < f.target()) out.add("frontends." + name + ": target above 0, timeout no less");
-      if (f.effect() == Site.Effect.UNIQUED && f.remembered() <= 0) out.add("frontends." + name + ": uniqued wants remembered");
+      if (f.target() <= 0 || f.clientTimeout() < f.target())
+        out.add("frontends." + name + ": target above 0, timeout no less");
+      if (f.effect() == Site.Effect.UNIQUED && f.remembered() <= 0)
+        out.add("frontends." + name + ": uniqued wants remembered");
     });
     if (limits.sendCap() < 1) out.add("limits.sendCap: at least 1");
-    for (long c : barred) if (exempt.contains(c)) out.add("barred and exempt: customer " + Long.toHexString(c));
+    for (long c : barred)
+      if (exempt.contains(c)) out.add("barred and exempt: customer " + Long.toHexString(c));
     if (version.epoch() < 1) out.add("version: epochs begin with 1");
     return out;
   }
--- a/src/main/java/saltlatch/simhost/Reader.java
+++ b/src/main/java/saltlatch/simhost/Reader.java
@@ -33,13 +33,14 @@
       }
     }
     Site.Rules rules = new Site.Rules(word(all, "discovery").equals("subscribe"), flag(limits, "cancelling"),
-        (int) number(limits, "sendCap"), flag(limits, "retryAfter"),
-        time(limits, "maxRetryAfter"), flag(part(all, "clients"), "marksRetry"), time(guard, "cold"),
-        number(guard, "coldFrom"), number(guard, "fallMultiple"), time(guard, "tipAfter"));
+        (int) number(limits, "sendCap"), flag(limits, "retryAfter"), time(limits, "maxRetryAfter"),
+        flag(part(all, "clients"), "marksRetry"), time(guard, "cold"), number(guard, "coldFrom"),
+        number(guard, "fallMultiple"), time(guard, "tipAfter"));
     Site.Counting counting = new Site.Counting(flag(family, "counter"), flag(family, "costAfter"));
     return new Site(seed, (int) number(all, "peersTotal"), time(all, "quantum"), rules, counting,
         new Site.Peers((int) number(all, "me"), flag(limits, "mayTell") ? number(family, "peerInPerS") : 0,
-            number(part(all, "fees"), "peer")), frontends, plans);
+            number(part(all, "fees"), "peer")),
+        frontends, plans);
   }
 
   private static Site.Effect effect(String word) {
@@ -63,7 +64,8 @@
   }
 
   private static double number(JsonObject from, String key) {
-    return from.has(key) && !from.get(key).isJsonNull() ? typed(from, key, "number", JsonElement::getAsDouble) : 0;
+    return from.has(key) && !from.get(key).isJsonNull() ? typed(from, key, "number", JsonElement::getAsDouble)
+        : 0;
   }
 
   private static long time(JsonObject from, String key) {
--- a/src/main/java/saltlatch/simhost/SimHost.java
+++ b/src/main/java/saltlatch/simhost/SimHost.java
@@ -133,34 +133,34 @@
   private static Event event(ByteBuffer in, int code, int at, int tail) throws Malformed {
     long rid = in.getInt(at + 4) & 0xffffffffL;
     switch (code) {
-      case 257:
+      case 257 :
         return listed(in, at, tail);
-      case 258:
+      case 258 :
         return new Event.Arrived(rid, in.get(at + 22) & 255, in.getShort(at + 8) & 0xffff,
             in.getLong(at + 23), Reply.tenths(in.getDouble(at + 10)), in.getFloat(at + 33),
             Math.round(in.getFloat(at + 18)), Math.round(in.getFloat(at + 37)),
             (in.getShort(at + 31) & 2) != 0, 0);
-      case 259:
+      case 259 :
         return new Event.Begun(rid, in.getInt(at + 16) & 0xffffffffL, in.get(at + 20) & 255,
             Reply.tenths(in.getDouble(at + 8)));
-      case 260:
+      case 260 :
         return new Event.Ended(rid, in.getInt(at + 11) & 0xffffffffL, in.get(at + 26) & 255,
             pick(OUTCOMES, in.get(at + 15)), in.get(at + 8) != 0, Reply.tenths(in.getDouble(at + 18)),
             in.getShort(at + 16) & 0xffff, in.getShort(at + 9) & 0xffff, load(in, at + 27));
-      case 261:
+      case 261 :
         return new Event.ClientLeft(rid);
-      case 262:
+      case 262 :
         return new Event.Due(in.getLong(at + 4));
-      case 263:
+      case 263 :
         return new Event.Probed(in.getInt(at + 12) & 0xffffffffL, pick(OUTCOMES, in.get(at + 16)),
             Reply.tenths(in.getDouble(at + 4)), load(in, at + 17));
-      case 264:
+      case 264 :
         Told told = SumsForm.read(bytes(in, at + 6, tail, 1));
         return told == null ? null : new Event.Heard(in.getShort(at + 4) & 0xffff, told);
-      case 266:
+      case 266 :
         return new Event.Counted(in.getLong(at + 4), pick(OUTCOMES, in.get(at + 12)), in.getFloat(at + 13),
             Reply.tenths(in.getDouble(at + 17)));
-      default:
+      default :
         throw new Malformed("unknown event code " + code);
     }
   }
@@ -170,8 +170,8 @@
     List<Event.Entry> entries = new ArrayList<>();
     for (int e = 0; e < data.capacity(); e += ENTRY) {
       entries.add(new Event.Entry(data.getInt(e) & 0xffffffffL, Reply.tenths(data.getDouble(e + 4)),
-          data.getShort(e + 12) & 0xffff, data.getShort(e + 14) & 0xffff,
-          pick(CONDITIONS, data.get(e + 16)), data.getFloat(e + 17), data.getShort(e + 21) & 0xffff));
+          data.getShort(e + 12) & 0xffff, data.getShort(e + 14) & 0xffff, pick(CONDITIONS, data.get(e + 16)),
+          data.getFloat(e + 17), data.getShort(e + 21) & 0xffff));
     }
     return new Event.Listed(pick(LISTS, in.get(at + 4)), entries);
   }
--- a/src/main/java/saltlatch/state/Pool.java
+++ b/src/main/java/saltlatch/state/Pool.java
@@ -13,7 +13,7 @@
 
   /** One that has been idle since then or before. */
   public L take(long since) {
-    for (Iterator<Idle<L>> i = idle.descendingIterator(); i.hasNext(); ) {
+    for (Iterator<Idle<L>> i = idle.descendingIterator(); i.hasNext();) {
       Idle<L> one = i.next();
       if (one.since() > since) continue;
       i.remove();
--- a/src/main/java/saltlatch/state/Timers.java
+++ b/src/main/java/saltlatch/state/Timers.java
@@ -21,8 +21,8 @@
     }
   }
 
-  private final PriorityQueue<Timer> queue =
-      new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+  private final PriorityQueue<Timer> queue = new PriorityQueue<>(
+      (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
   private long next;
 
   public Timer add(long at, Runnable then) {
--- a/src/main/java/saltlatch/wire/Answer.java
+++ b/src/main/java/saltlatch/wire/Answer.java
@@ -13,7 +13,8 @@
     if (resp instanceof Resp.Many m && m.items() != null && !m.items().isEmpty()
         && m.items().get(0) instanceof Resp.Bulk b && b.bytes() != null) {
       String use = text(m.items(), 1);
-      return new Answer(Ending.ANSWERED, b.bytes(), field(use, "cost"), field(use, "used"), text(m.items(), 2));
+      return new Answer(Ending.ANSWERED, b.bytes(), field(use, "cost"), field(use, "used"),
+          text(m.items(), 2));
     }
     if (resp instanceof Resp.Line l && l.type() == '-') {
       int last = l.text().lastIndexOf(' ');
--- a/src/main/java/saltlatch/wire/AppServers.java
+++ b/src/main/java/saltlatch/wire/AppServers.java
@@ -164,7 +164,8 @@
     Srv s = srvs.get(link.srv);
     s.busy.remove(link);
     if (open) s.pool.put(link, desk.now());
-    counters.add(answer.ending() == Ending.ANSWERED ? Count.DISPATCHES_PASSED : Count.DISPATCHES_ENDED_OTHERWISE);
+    counters
+        .add(answer.ending() == Ending.ANSWERED ? Count.DISPATCHES_PASSED : Count.DISPATCHES_ENDED_OTHERWISE);
     if (x == null) host.probed(link.srv, answer, spent);
     else host.ended(x, dispatch, link.srv, answer, spent);
   }
--- a/src/main/java/saltlatch/wire/CounterClient.java
+++ b/src/main/java/saltlatch/wire/CounterClient.java
@@ -44,7 +44,8 @@
   private final long limit;
   private final Link[] links = new Link[LINKS];
 
-  public CounterClient(Vertx vertx, SocketAddress address, Desk desk, Host host, Counters counters, long limit) {
+  public CounterClient(Vertx vertx, SocketAddress address, Desk desk, Host host, Counters counters,
+      long limit) {
     this.address = address;
     this.desk = desk;
     this.host = host;
@@ -83,7 +84,8 @@
 
   private void sweep() {
     for (Link link : links) {
-      if (link != null && (link.calls.isEmpty() && desk.now() - link.usedAt > IDLE || link.isStuck())) link.end();
+      if (link != null && (link.calls.isEmpty() && desk.now() - link.usedAt > IDLE || link.isStuck()))
+        link.end();
     }
     desk.at(desk.now() + SWEEP, this::sweep);
   }
--- a/src/main/java/saltlatch/wire/Dial.java
+++ b/src/main/java/saltlatch/wire/Dial.java
@@ -13,7 +13,8 @@
   public static SocketAddress address(String text) {
     int colon = text.lastIndexOf(':');
     if (colon <= 0) throw new IllegalArgumentException("no address: " + text);
-    return SocketAddress.inetSocketAddress(Integer.parseInt(text.substring(colon + 1)), text.substring(0, colon));
+    return SocketAddress.inetSocketAddress(Integer.parseInt(text.substring(colon + 1)),
+        text.substring(0, colon));
   }
 
   static NetClient client(Vertx vertx, long connectMs) {
--- a/src/main/java/saltlatch/wire/Door.java
+++ b/src/main/java/saltlatch/wire/Door.java
@@ -52,8 +52,8 @@
     this.counters = counters;
     this.mostLinks = mostLinks;
     // Guards against a crowd that connects at once: past a short backlog usual clients would be turned away with it.
-    server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true)
-        .setAcceptBacklog(16 * mostLinks));
+    server = vertx.createNetServer(
+        new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true).setAcceptBacklog(16 * mostLinks));
     server.connectHandler(this::accept);
     server.exceptionHandler(e -> counters.add(Count.CLIENTS_BROKEN));
   }
--- a/src/main/java/saltlatch/wire/MemberForm.java
+++ b/src/main/java/saltlatch/wire/MemberForm.java
@@ -29,12 +29,13 @@
   public static byte[] write(Message m) {
     int n = Math.min(m.news().size(), Math.min(Membership.MOST_NEWS, (LONGEST - HEAD) / NEWS));
     ByteBuffer b = ByteBuffer.allocate(HEAD + n * NEWS);
-    b.put(FIRST).put(VERSION).put((byte) (m.kind().ordinal() | (m.vouches() ? VOUCHES : 0))).putInt(0).putInt(m.seq())
-        .putShort((short) m.target())
-        .putInt((int) m.incarnation()).putLong(m.digest()).put((byte) n);
+    b.put(FIRST).put(VERSION).put((byte) (m.kind().ordinal() | (m.vouches() ? VOUCHES : 0))).putInt(0)
+        .putInt(m.seq()).putShort((short) m.target()).putInt((int) m.incarnation()).putLong(m.digest())
+        .put((byte) n);
     for (int i = 0; i < n; i++) {
       News x = m.news().get(i);
-      b.putShort((short) x.member()).put((byte) x.state().ordinal()).putInt((int) x.incarnation()).putShort((short) x.by());
+      b.putShort((short) x.member()).put((byte) x.state().ordinal()).putInt((int) x.incarnation())
+          .putShort((short) x.by());
     }
     return b.putInt(3, sum(b.array())).array();
   }
--- a/src/main/java/saltlatch/wire/Request.java
+++ b/src/main/java/saltlatch/wire/Request.java
@@ -66,7 +66,7 @@
     Set<String> seen = new HashSet<>();
     int cut = 0;
     int cutEnd = 0;
-    for (int at = 0; at < terms.length(); ) {
+    for (int at = 0; at < terms.length();) {
       int end = terms.indexOf(',', at);
       end = end < 0 ? terms.length() : end;
       int is = terms.indexOf('=', at);
@@ -86,7 +86,7 @@
         case "spread" -> width = Decimal.whole(value);
         case "first" -> first = Decimal.whole(value);
         case "k" -> keyed = !value.isEmpty();
-        default -> { }
+        default -> {}
       }
       at = end + 1;
     }
--- a/src/main/java/saltlatch/wire/RespReader.java
+++ b/src/main/java/saltlatch/wire/RespReader.java
@@ -32,7 +32,8 @@
     int size = more.length();
     if (from == to) from = to = 0;
     if (to + size > data.length) {
-      byte[] target = to - from + size > data.length ? new byte[Math.max(2 * data.length, to - from + size)] : data;
+      byte[] target = to - from + size > data.length ? new byte[Math.max(2 * data.length, to - from + size)]
+          : data;
       System.arraycopy(data, from, target, 0, to - from);
       data = target;
       to -= from;
--- a/src/main/java/saltlatch/wire/RulesForm.java
+++ b/src/main/java/saltlatch/wire/RulesForm.java
@@ -50,23 +50,25 @@
   }
 
   private static RuleSet rules(Part p) throws Malformed {
-    p.only("epoch", "number", "expired", "pins", "plans", "frontends", "limits", "held_out", "barred", "exempt", "roster");
+    p.only("epoch", "number", "expired", "pins", "plans", "frontends", "limits", "held_out", "barred",
+        "exempt", "roster");
     Map<String, Site.Plan> plans = new TreeMap<>();
     for (Part e : p.part("plans").parts()) plans.put(e.name(), plan(e));
     Map<String, Site.Frontend> frontends = new TreeMap<>();
     for (Part e : p.part("frontends").parts()) frontends.put(e.name(), frontend(e));
     Part limits = p.part("limits");
     limits.only("send_cap", "longest_pause_ms");
-    return new RuleSet(new Version(p.whole("epoch"), p.has("number") ? p.whole("number") : 0), plans, frontends,
-        new RuleSet.Limits((int) limits.whole("send_cap"), limits.tenths("longest_pause_ms")), p.words("held_out"),
-        customers(p, "barred"), customers(p, "exempt"), p.words("roster"), p.words("pins"),
+    return new RuleSet(new Version(p.whole("epoch"), p.has("number") ? p.whole("number") : 0), plans,
+        frontends, new RuleSet.Limits((int) limits.whole("send_cap"), limits.tenths("longest_pause_ms")),
+        p.words("held_out"), customers(p, "barred"), customers(p, "exempt"), p.words("roster"),
+        p.words("pins"),
         p.has("expired") ? p.one("expired", RuleSet.Expired.values()) : RuleSet.Expired.DENY);
   }
 
   private static Site.Plan plan(Part p) throws Malformed {
     p.only("rate", "burst", "parallel", "ceiling_rate", "ceiling_burst", "price");
-    return new Site.Plan(p.number("rate"), p.number("burst"), (int) p.whole("parallel"), p.number("ceiling_rate"),
-        p.number("ceiling_burst"), p.number("price"));
+    return new Site.Plan(p.number("rate"), p.number("burst"), (int) p.whole("parallel"),
+        p.number("ceiling_rate"), p.number("ceiling_burst"), p.number("price"));
   }
 
   private static Site.Frontend frontend(Part p) throws Malformed {
@@ -226,7 +228,8 @@
     }
 
     void only(String... keys) throws Malformed {
-      for (String key : object().keySet()) if (!List.of(keys).contains(key)) throw new Malformed(at(key) + ": not known");
+      for (String key : object().keySet())
+        if (!List.of(keys).contains(key)) throw new Malformed(at(key) + ": not known");
     }
 
     boolean has(String key) throws Malformed {
@@ -248,14 +251,16 @@
 
     String word(String key) throws Malformed {
       JsonElement e = get(key);
-      if (!e.isJsonPrimitive() || !e.getAsJsonPrimitive().isString()) throw new Malformed(at(key) + ": no word");
+      if (!e.isJsonPrimitive() || !e.getAsJsonPrimitive().isString())
+        throw new Malformed(at(key) + ": no word");
       return e.getAsString();
     }
 
     double number(String key) throws Malformed {
       if (!has(key)) return 0;
       JsonElement e = get(key);
-      if (!e.isJsonPrimitive() || !e.getAsJsonPrimitive().isNumber()) throw new Malformed(at(key) + ": no number");
+      if (!e.isJsonPrimitive() || !e.getAsJsonPrimitive().isNumber())
+        throw new Malformed(at(key) + ": no number");
       double n = e.getAsDouble();
       if (!Double.isFinite(n) || n < 0) throw new Malformed(at(key) + ": from 0 on");
       return n;
@@ -274,7 +279,8 @@
     <E extends Enum<E>> E one(String key, E[] of) throws Malformed {
       String word = word(key);
       for (E e : of) if (RulesForm.word(e).equals(word)) return e;
-      throw new Malformed(at(key) + ": " + word + " is none of " + List.of(of).stream().map(RulesForm::word).toList());
+      throw new Malformed(
+          at(key) + ": " + word + " is none of " + List.of(of).stream().map(RulesForm::word).toList());
     }
 
     SortedSet<String> words(String key) throws Malformed {
@@ -282,7 +288,8 @@
       if (!has(key)) return out;
       if (!get(key).isJsonArray()) throw new Malformed(at(key) + ": no list");
       for (JsonElement e : get(key).getAsJsonArray()) {
-        if (!e.isJsonPrimitive() || !e.getAsJsonPrimitive().isString()) throw new Malformed(at(key) + ": words alone");
+        if (!e.isJsonPrimitive() || !e.getAsJsonPrimitive().isString())
+          throw new Malformed(at(key) + ": words alone");
         out.add(e.getAsString());
       }
       return out;
--- a/src/main/java/saltlatch/wire/SumsForm.java
+++ b/src/main/java/saltlatch/wire/SumsForm.java
@@ -79,7 +79,8 @@
       }
       if (bits == null) bits = new BitSet();
       int part = turn << 16 | units;
-      for (int b = 0; b < BITS; b++) if ((part >>> b & 1) != 0) bits.set((int) (customer - HEARING) * BITS + b);
+      for (int b = 0; b < BITS; b++)
+        if ((part >>> b & 1) != 0) bits.set((int) (customer - HEARING) * BITS + b);
     }
     return new Told(sums, bits == null ? null
         : new Told.Hearing(bits.get(FLAGS, Math.max(FLAGS, bits.length())), bits.get(0), bits.get(1)));
--- a/src/main/java/saltlatch/wire/TargetList.java
+++ b/src/main/java/saltlatch/wire/TargetList.java
@@ -11,8 +11,8 @@
 
 /** One message of discovery, decoded once; a target with no address is none to connect to. */
 public record TargetList(long index, boolean whole, List<Target> targets) {
-  public record Target(String name, SocketAddress address, String zone, String type, int group, Condition condition,
-      double weight, long sinceMs) {}
+  public record Target(String name, SocketAddress address, String zone, String type, int group,
+      Condition condition, double weight, long sinceMs) {}
 
   static TargetList of(String line) {
     return of(JsonParser.parseString(line).getAsJsonObject());
@@ -24,7 +24,8 @@
       JsonObject t = e.getAsJsonObject();
       Condition condition = condition(t.get("status").getAsString());
       String address = text(t, "address");
-      if (address.isEmpty() && condition == Condition.READY) throw new IllegalArgumentException("ready at no address");
+      if (address.isEmpty() && condition == Condition.READY)
+        throw new IllegalArgumentException("ready at no address");
       targets.add(new Target(t.get("name").getAsString(), address.isEmpty() ? null : Dial.address(address),
           text(t, "zone"), text(t, "type"), t.has("group") ? t.get("group").getAsInt() : 0, condition,
           t.has("weight") ? t.get("weight").getAsDouble() : 1,
--- a/src/test/java/saltlatch/ColdFleetTest.java
+++ b/src/test/java/saltlatch/ColdFleetTest.java
@@ -44,19 +44,22 @@
     }
 
     private Control control(int n, long seed, long now) {
-      Actions to = (Actions) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Actions.class}, (p, m, a) -> {
-        if (m.getName().equals("dispatch")) sent.add(new long[] {node, (long) a[0], (long) a[1]});
-        return null;
-      });
-      Site.Rules rules = new Site.Rules(false, true, 4, true, 10_000, true, 10 * WINDOW, FROM, multiple, WINDOW);
-      return new Control(now, new Site(seed, n, 20, rules, new Site.Counting(true, false), new Site.Peers(0, 0, 0),
-          List.of(Trace.REPLAYABLE), List.of(Trace.NO_QUOTA)), to);
+      Actions to = (Actions) Proxy.newProxyInstance(getClass().getClassLoader(),
+          new Class<?>[] {Actions.class}, (p, m, a) -> {
+            if (m.getName().equals("dispatch")) sent.add(new long[] {node, (long) a[0], (long) a[1]});
+            return null;
+          });
+      Site.Rules rules = new Site.Rules(false, true, 4, true, 10_000, true, 10 * WINDOW, FROM, multiple,
+          WINDOW);
+      return new Control(now, new Site(seed, n, 20, rules, new Site.Counting(true, false),
+          new Site.Peers(0, 0, 0), List.of(Trace.REPLAYABLE), List.of(Trace.NO_QUOTA)), to);
     }
 
     private Event list(boolean cold) {
       List<Event.Entry> entries = new ArrayList<>();
       for (int i = 0; i < WARM + (cold ? 1 : 0); i++) {
-        entries.add(new Event.Entry(i, cold && (allCold || i == COLD) ? LISTED : 0, 0, 0, Condition.READY, 1, 0));
+        entries.add(
+            new Event.Entry(i, cold && (allCold || i == COLD) ? LISTED : 0, 0, 0, Condition.READY, 1, 0));
       }
       return new Event.Listed(Event.ListKind.WHOLE, entries);
     }
@@ -79,8 +82,9 @@
       long rid = 0;
       for (long now = STEP; now < END; now += STEP) {
         Map<Integer, List<Event>> events = new TreeMap<>();
-        for (long[] one : sent) add(events, (int) one[0],
-          new Event.Ended(one[1], 0, 0, Outcome.PASSED, true, STEP, 0, 0, List.of()));
+        for (long[] one : sent)
+          add(events, (int) one[0],
+              new Event.Ended(one[1], 0, 0, Outcome.PASSED, true, STEP, 0, 0, List.of()));
         sent.clear();
         double arrivals = WARM * carried * STEP / WINDOW;
         for (int k = poisson(arrivals, chance); k > 0; k--) {
@@ -99,7 +103,8 @@
         while (!window.isEmpty() && window.peek() <= now - WINDOW) window.poll();
         if (now < LISTED) continue;
         // Its warmth where the window began: less than at any time in it.
-        double least = multiple * carried * (FROM + (1 - FROM) * Math.max(0, now - WINDOW - LISTED) / (10.0 * WINDOW));
+        double least = multiple * carried
+            * (FROM + (1 - FROM) * Math.max(0, now - WINDOW - LISTED) / (10.0 * WINDOW));
         worst = Math.max(worst, window.size() - (least + 2 * Math.sqrt(least) + 2));
         got += sent.stream().filter(one -> one[2] == COLD).count();
         budget += multiple * carried * (FROM + (1 - FROM) * (now - LISTED) / (10.0 * WINDOW)) * STEP / WINDOW;
@@ -119,10 +124,12 @@
   }
 
   @ParameterizedTest
-  @CsvSource({"3, 2, 4, false, 0, 1000", "30, 2, 4, false, 0, 1000", "100, 2, 4, false, 0, 1000", "100, 10, 4, false, 0, 300",
-      "30, 2, 4, false, 7, 1000", "100, 2, 4, false, 7, 1000", "100, 10, 4, false, 7, 300",
-      "3, 10, 2, true, 0, 300", "30, 10, 2, true, 0, 1000", "100, 10, 2, true, 0, 300", "30, 10, 2, true, 7, 300"})
-  void sumStaysUnderTheBound(int nodes, double carried, double multiple, boolean allCold, int restarted, int draws) {
+  @CsvSource({"3, 2, 4, false, 0, 1000", "30, 2, 4, false, 0, 1000", "100, 2, 4, false, 0, 1000",
+      "100, 10, 4, false, 0, 300", "30, 2, 4, false, 7, 1000", "100, 2, 4, false, 7, 1000",
+      "100, 10, 4, false, 7, 300", "3, 10, 2, true, 0, 300", "30, 10, 2, true, 0, 1000",
+      "100, 10, 2, true, 0, 300", "30, 10, 2, true, 7, 300"})
+  void sumStaysUnderTheBound(int nodes, double carried, double multiple, boolean allCold, int restarted,
+      int draws) {
     List<double[]> all = IntStream.range(0, draws).parallel()
         .mapToObj(seed -> new Fleet(multiple, allCold).play(nodes, carried, restarted, seed)).toList();
     long beyond = all.stream().filter(draw -> draw[0] > 0).count();
--- a/src/test/java/saltlatch/GossipTest.java
+++ b/src/test/java/saltlatch/GossipTest.java
@@ -141,7 +141,8 @@
   void tenNodesKeepAQuotaWithoutTheCounter() {
     double[] light = play(40, 0.35, 0.08);
     double[] onShares = play(0, 0.35, 0);
-    assertTrue(light[2] <= 4 && onShares[2] > 4 * light[2], Arrays.toString(light) + Arrays.toString(onShares));
+    assertTrue(light[2] <= 4 && onShares[2] > 4 * light[2],
+        Arrays.toString(light) + Arrays.toString(onShares));
     double[] heavy = play(40, 2, 0.08);
     double quota = PLAN.burst() + 120 * PLAN.rate();
     assertTrue(heavy[0] - heavy[1] > 0.95 * quota && heavy[0] < 1.3 * quota, Arrays.toString(heavy));
@@ -192,7 +193,8 @@
     t.say("holds half of the 20 units, 3 of the whole spent: 8.5 left, passes " + passed(t, 100));
     t.pass(6 * SECOND);
     t.say("the lease ran out: an eighth, 2.5 units, passes " + passed(t, 200));
-    t.tell(new Event.Members(List.of(Event.Life.LIVE, Event.Life.GONE), t.now + 99 * SECOND, t.now + 99 * SECOND, 2));
+    t.tell(new Event.Members(List.of(Event.Life.LIVE, Event.Life.GONE), t.now + 99 * SECOND,
+        t.now + 99 * SECOND, 2));
     t.say("takes what the other left from its next req on, passes " + passed(t, 250));
     t.pass(20 * SECOND);
     t.say("takes what the other left, 7 eighths: 17.5 units, passes " + passed(t, 300));
--- a/src/test/java/saltlatch/NoCounterTest.java
+++ b/src/test/java/saltlatch/NoCounterTest.java
@@ -52,7 +52,8 @@
       sum += passed / DRAWS;
       if (passed > bound) beyond++;
     }
-    assertTrue(beyond <= DRAWS / 50, beyond + " of " + DRAWS + " draws beyond " + bound + ", " + sum + " on average");
+    assertTrue(beyond <= DRAWS / 50,
+        beyond + " of " + DRAWS + " draws beyond " + bound + ", " + sum + " on average");
     assertTrue(sum > 0.75 * quota, sum + " of " + quota);
   }
 }
--- a/src/test/java/saltlatch/SimHostTest.java
+++ b/src/test/java/saltlatch/SimHostTest.java
@@ -77,12 +77,13 @@
   @Test
   void everyEventAndAction() throws IOException {
     byte[][] records = {attach(site().length),
-      hex("0201 0300 c4913a5d 0000 0000000000006e40 00004040 00 640ad2557c3bf091 0200 00000040 0000803f"),
-      hex("0301 0300 c4913a5d 0000000000802240 074a1203 01"),
-      hex("0401 0300 c4913a5d 01 5600 074a1203 00 0300 0000000000803240 02 01 0000803f"),
-      hex("0501 0300 192b6f0e"), hex("0601 0300 4d00000000000000"),
-      hex("0701 0300 0000000000000840 f211902c 04"), hex("0801 0300 0200 " + le(site().length) + " 01000000"),
-      hex("0a01 0300 90f6890000000000 03 00001842 0000000000000040")};
+        hex("0201 0300 c4913a5d 0000 0000000000006e40 00004040 00 640ad2557c3bf091 0200 00000040 0000803f"),
+        hex("0301 0300 c4913a5d 0000000000802240 074a1203 01"),
+        hex("0401 0300 c4913a5d 01 5600 074a1203 00 0300 0000000000803240 02 01 0000803f"),
+        hex("0501 0300 192b6f0e"), hex("0601 0300 4d00000000000000"),
+        hex("0701 0300 0000000000000840 f211902c 04"),
+        hex("0801 0300 0200 " + le(site().length) + " 01000000"),
+        hex("0a01 0300 90f6890000000000 03 00001842 0000000000000040")};
     byte[] tail = Arrays.copyOf(site(), site().length + 1);
     tail[site().length] = 0x51; // a datagram of no sums
     int code = run(frame(1000, tail, records), (now, site, to) -> (at, events) -> {
@@ -92,26 +93,32 @@
     });
     assertEquals("", err.toString());
     assertEquals(0, code);
-    assertEquals("""
-        UNIQUED 10000
-        Arrived[rid=1564119492, frontend=0, plan=0, customer=-7930773538597631388, left=2400, units=2.0, width=3, \
-        first=1, repeat=true, age=0]
-        Begun[rid=1564119492, srv=51530247, dispatch=1, spent=92]
-        Ended[rid=1564119492, srv=51530247, dispatch=2, how=PASSED, over=true, spent=185, actual=3.0, fleetUse=86.0, \
-        load=[1.0]]
-        ClientLeft[rid=242166553]
-        Due[handle=77]
-        Probed[srv=747639282, how=NOT_CONNECTED, spent=30, load=[]]
-        heard 2
-        Counted[name=9041552, how=LATE, total=38.0, spent=20]
-        """, told.toString());
-    String[] expected = {"21010000 0b000000",
-      "0301 0300 c4913a5d 0000000000005440 074a1203 00000000", "0401 0300 192b6f0e 0000000000406f40 0000000000000000",
-      "0601 0300 c4913a5d 00000000000000000000000000000000", "0501 0300 c4913a5d 02 000000000000000000000000000000",
-      "0901 0300 000000000068c040 4d00000000000000 00000000", "0a01 0300 f211902c 00000000000000000000000000000000",
-      "0001 0300 f211902c 00000000000000000000000000000000", "0b01 0300 90f6890000000000 00008040 000000000070a740",
-      "0c01 0300 01 00000000000000000000000000000000000000", "0701 0300 ffff 00000000 01000000 00000000000000000000",
-      "0801 0300 01000000 03000000 000000000000000000000000", "51 776879"};
+    assertEquals(
+        """
+            UNIQUED 10000
+            Arrived[rid=1564119492, frontend=0, plan=0, customer=-7930773538597631388, left=2400, units=2.0, width=3, \
+            first=1, repeat=true, age=0]
+            Begun[rid=1564119492, srv=51530247, dispatch=1, spent=92]
+            Ended[rid=1564119492, srv=51530247, dispatch=2, how=PASSED, over=true, spent=185, actual=3.0, fleetUse=86.0, \
+            load=[1.0]]
+            ClientLeft[rid=242166553]
+            Due[handle=77]
+            Probed[srv=747639282, how=NOT_CONNECTED, spent=30, load=[]]
+            heard 2
+            Counted[name=9041552, how=LATE, total=38.0, spent=20]
+            """,
+        told.toString());
+    String[] expected = {"21010000 0b000000", "0301 0300 c4913a5d 0000000000005440 074a1203 00000000",
+        "0401 0300 192b6f0e 0000000000406f40 0000000000000000",
+        "0601 0300 c4913a5d 00000000000000000000000000000000",
+        "0501 0300 c4913a5d 02 000000000000000000000000000000",
+        "0901 0300 000000000068c040 4d00000000000000 00000000",
+        "0a01 0300 f211902c 00000000000000000000000000000000",
+        "0001 0300 f211902c 00000000000000000000000000000000",
+        "0b01 0300 90f6890000000000 00008040 000000000070a740",
+        "0c01 0300 01 00000000000000000000000000000000000000",
+        "0701 0300 ffff 00000000 01000000 00000000000000000000",
+        "0801 0300 01000000 03000000 000000000000000000000000", "51 776879"};
     String all = String.join("", expected).replace(" ", "");
     all = String.format("%08x", Integer.reverseBytes(all.length() / 2 - 4)) + all.substring(8);
     assertEquals(all, HexFormat.of().formatHex(out.toByteArray()));
--- a/src/test/java/saltlatch/Trace.java
+++ b/src/test/java/saltlatch/Trace.java
@@ -49,10 +49,11 @@
     return site(seed, nodes, plan, unitsAfter, follow, 0, 0);
   }
 
-  static Site site(long seed, int nodes, Site.Plan plan, boolean unitsAfter, boolean follow, int me, double intake) {
+  static Site site(long seed, int nodes, Site.Plan plan, boolean unitsAfter, boolean follow, int me,
+      double intake) {
     Site.Rules rules = new Site.Rules(follow, true, 4, true, 10_000, true, 100_000, 0.2, 4, 10_000);
-    return new Site(seed, nodes, 20, rules, new Site.Counting(true, unitsAfter), new Site.Peers(me, intake, 0),
-        List.of(REPLAYABLE, UNIQUED, ONCE), List.of(plan));
+    return new Site(seed, nodes, 20, rules, new Site.Counting(true, unitsAfter),
+        new Site.Peers(me, intake, 0), List.of(REPLAYABLE, UNIQUED, ONCE), List.of(plan));
   }
 
   Trace(Site site) {
@@ -72,8 +73,8 @@
       String[] parts = srv.split("[/ ]");
       boolean marked = parts.length > 2;
       entries.add(new Event.Entry(Long.parseLong(parts[0]), marked && parts[2].equals("cold") ? now : 0, 0,
-          Integer.parseInt(parts[1]), marked && parts[2].equals("draining") ? Condition.DRAINING : Condition.READY,
-          1, 0));
+          Integer.parseInt(parts[1]),
+          marked && parts[2].equals("draining") ? Condition.DRAINING : Condition.READY, 1, 0));
     }
     say("listed " + String.join(", ", srvs));
     tell(new Event.Listed(Event.ListKind.WHOLE, entries));
@@ -197,7 +198,8 @@
   @Override
   public void count(long name, double units, long keep, long cap) {
     names.add(name);
-    say(String.format(Locale.ROOT, "  -> count window %d: %+.2f, kept %.0f", name & 0x7fffffffL, units, keep / 10.0));
+    say(String.format(Locale.ROOT, "  -> count window %d: %+.2f, kept %.0f", name & 0x7fffffffL, units,
+        keep / 10.0));
   }
 
   @Override
--- a/src/test/java/saltlatch/lab/CheckTest.java
+++ b/src/test/java/saltlatch/lab/CheckTest.java
@@ -165,7 +165,8 @@
   }
 
   private void share(String node, String is, String part, String holdsMs) {
-    add(node, "share", "is", is, "part", part, "whole", "0.5", "floor", "0.125", "holds_ms", holdsMs, "takes_ms", holdsMs);
+    add(node, "share", "is", is, "part", part, "whole", "0.5", "floor", "0.125", "holds_ms", holdsMs,
+        "takes_ms", holdsMs);
   }
 
   /** Shares above one are found; one whose lease ran out unsaid, or that was killed, does not count. */
--- a/src/test/java/saltlatch/lab/EmulatorTest.java
+++ b/src/test/java/saltlatch/lab/EmulatorTest.java
@@ -84,17 +84,20 @@
     e.start().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
     try {
       var config = JsonParser.parseString(e.nodeConfig(0)).getAsJsonObject();
-      assertEquals(2, config.getAsJsonObject("known").getAsJsonArray("endpoints").size(), "s-2 not started yet");
+      assertEquals(2, config.getAsJsonObject("known").getAsJsonArray("endpoints").size(),
+          "s-2 not started yet");
       String address = config.get("discovery").getAsString();
       try (Socket watch = new Socket(InetAddress.getLoopbackAddress(),
           Integer.parseInt(address.substring(address.indexOf(':') + 1)))) {
         watch.setSoTimeout(5_000);
         watch.getOutputStream().write("GET /api/targets?follow=1&since=1 HTTP/1.1\r\nHost: x\r\n\r\n"
             .getBytes(StandardCharsets.ISO_8859_1));
-        BufferedReader in = new BufferedReader(new InputStreamReader(watch.getInputStream(), StandardCharsets.ISO_8859_1));
+        BufferedReader in = new BufferedReader(
+            new InputStreamReader(watch.getInputStream(), StandardCharsets.ISO_8859_1));
         double toldAt = -1;
         for (String line = in.readLine(); line != null && toldAt < 0; line = in.readLine()) {
-          if (line.contains("\"s-2\"") && line.contains("Ready") && line.contains("\"snapshot\":false")) toldAt = clock.nowMs();
+          if (line.contains("\"s-2\"") && line.contains("Ready") && line.contains("\"snapshot\":false"))
+            toldAt = clock.nowMs();
         }
         assertTrue(toldAt >= 1_500 && toldAt < 2_500, "told at " + toldAt + " ms");
       }
@@ -131,7 +134,8 @@
   }
 
   private static int counterPort(Emulator e, int node) {
-    String address = JsonParser.parseString(e.nodeConfig(node)).getAsJsonObject().get("counter").getAsString();
+    String address = JsonParser.parseString(e.nodeConfig(node)).getAsJsonObject().get("counter")
+        .getAsString();
     return Integer.parseInt(address.substring(address.indexOf(':') + 1));
   }
 
--- a/src/test/java/saltlatch/lab/LabTest.java
+++ b/src/test/java/saltlatch/lab/LabTest.java
@@ -78,7 +78,8 @@
     long answered = r.outcomes().get(Outcome.PASSED) + r.outcomes().get(Outcome.DENIED);
     assertTrue(answered > r.tries() * 0.9, "answered " + answered + " of " + r.tries() + ": " + r.outcomes());
     assertTrue(r.outcomes().get(Outcome.PASSED) > r.tries() * 0.2, "a good part passes: " + r.outcomes());
-    assertTrue(r.outcomes().get(Outcome.DENIED) > 0, "a plan of 6 units a second denies some: " + r.outcomes());
+    assertTrue(r.outcomes().get(Outcome.DENIED) > 0,
+        "a plan of 6 units a second denies some: " + r.outcomes());
     String html = Report.html(r, r);
     assertTrue(html.contains("<svg") && html.contains("ratio") && !html.contains("FAILED"));
   }
@@ -88,9 +89,9 @@
   void loadKeepsItsScheduleWhenNoAnswerComes() throws Exception {
     Vertx vertx = Vertx.vertx();
     try {
-      NetServer mute = vertx.createNetServer().connectHandler(socket -> socket.handler(data -> { }));
-      int port = mute.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS)
-          .actualPort();
+      NetServer mute = vertx.createNetServer().connectHandler(socket -> socket.handler(data -> {}));
+      int port = mute.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture()
+          .get(5, TimeUnit.SECONDS).actualPort();
       Scenario s = Scenario.parse("""
           seed = 5
           seconds = 3
@@ -103,7 +104,8 @@
       LoadRunner load = new LoadRunner(s, schedule, List.of(port), new LabClock());
       load.run().toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
       assertEquals(schedule.size(), load.tries());
-      assertEquals(schedule.size(), (long) load.outcomes().get(Outcome.TIMED_OUT) + load.outcomes().get(Outcome.BROKEN));
+      assertEquals(schedule.size(),
+          (long) load.outcomes().get(Outcome.TIMED_OUT) + load.outcomes().get(Outcome.BROKEN));
       assertTrue(load.senderLate().get("p99") < 20_000, "sender late " + load.senderLate());
       load.close();
     } finally {
--- a/src/test/java/saltlatch/lab/MembersIT.java
+++ b/src/test/java/saltlatch/lab/MembersIT.java
@@ -67,8 +67,7 @@
       to = "nodes"
       """;
 
-  @TempDir
-  Path dir;
+  @TempDir Path dir;
 
   private List<Line> history;
   private long zero; // when the load began
@@ -94,7 +93,8 @@
   private String held(String observer, String member, double atS) {
     String state = "unknown";
     for (Line l : history) {
-      if (l.kind().equals("member") && l.name().equals(observer) && l.get("member").equals(member) && seconds(l) <= atS) {
+      if (l.kind().equals("member") && l.name().equals(observer) && l.get("member").equals(member)
+          && seconds(l) <= atS) {
         state = l.get("state").equals("suspect") ? "alive" : l.get("state"); // a suspect counts as live
       }
     }
@@ -143,20 +143,28 @@
         String member = "n" + i;
         double at = first("member", l -> l.name().equals(observer) && l.get("member").equals(member)
             && l.get("state").equals("failed"), 7);
-        assertTrue(at <= 7 + stated("members_t1_ms"), observer + " holds " + member + " failed only at " + at);
+        assertTrue(at <= 7 + stated("members_t1_ms"),
+            observer + " holds " + member + " failed only at " + at);
       }
-      assertTrue(history.stream().anyMatch(l -> l.kind().equals("standing") && l.name().equals(observer)
-          && l.get("is").equals("minority") && seconds(l) > 7), observer + " does not know its standing");
+      assertTrue(
+          history.stream()
+              .anyMatch(l -> l.kind().equals("standing") && l.name().equals(observer)
+                  && l.get("is").equals("minority") && seconds(l) > 7),
+          observer + " does not know its standing");
     }
     for (String observer : List.of("n0", "n1")) {
       for (int i = 0; i < 2; i++) assertEquals("alive", held(observer, "n" + i, 34), observer + " of n" + i);
       assertEquals("left", held(observer, "n2", 34)); // it serves on for 2.3 s after SIGTERM, and then says so
-      assertTrue(history.stream().noneMatch(l -> l.kind().equals("member") && l.name().equals(observer)
-          && l.get("member").equals("n2") && l.get("state").equals("failed")), observer + " held n2 failed");
+      assertTrue(
+          history.stream()
+              .noneMatch(l -> l.kind().equals("member") && l.name().equals(observer)
+                  && l.get("member").equals("n2") && l.get("state").equals("failed")),
+          observer + " held n2 failed");
     }
     // Half of the roster is out of reach: the surplus is given up by the lease's own time.
     assertEquals("floor", last("n0", "share"));
-    assertTrue(Files.readString(dir.resolve("n1.json")).contains("\"refill\":9.0"), "not the older configuration");
+    assertTrue(Files.readString(dir.resolve("n1.json")).contains("\"refill\":9.0"),
+        "not the older configuration");
   }
 
   private String last(String node, String kind) {
@@ -187,10 +195,12 @@
       double floor = first("share", l -> l.name().equals(lost) && l.get("is").equals("floor"), 4);
       assertTrue(floor <= 4 + stated("members_lease_ms"), lost + " at its floor only at " + floor);
       assertTrue(floor < took, lost + " at its floor at " + floor + ", taken over at " + took);
-      assertTrue(history.stream().noneMatch(l -> l.kind().equals("share") && l.name().equals(lost)
-          && l.get("is").equals("more")), lost + " took over the majority's");
-      assertTrue(first("standing", l -> l.name().equals(lost) && l.get("is").equals("minority"), 4)
-          <= 4 + stated("members_t1_ms"), lost + " does not know its standing");
+      assertTrue(
+          history.stream().noneMatch(
+              l -> l.kind().equals("share") && l.name().equals(lost) && l.get("is").equals("more")),
+          lost + " took over the majority's");
+      assertTrue(first("standing", l -> l.name().equals(lost) && l.get("is").equals("minority"), 4) <= 4
+          + stated("members_t1_ms"), lost + " does not know its standing");
     }
     assertTrue(took <= 34, "the majority took nothing over in 30 s"); // 19 s in the model's mean; stated: takeover_ms
     assertTrue(34 + stated("members_t3_ms") <= 74, "T3 does not fit the run");
@@ -242,11 +252,17 @@
       assertTrue(l.get("member").equals("n4") && seconds(l) >= 14 && !l.name().equals("n4"), "failed: " + l);
     }
     for (String observer : List.of("n0", "n1", "n2", "n3")) {
-      assertTrue(first("member", l -> l.name().equals(observer) && l.get("member").equals("n4")
-          && l.get("state").equals("failed"), 14) <= 14 + stated("members_t1_ms"), observer + " did not notice n4");
-      assertEquals("alive", held(observer, "n4", 38 + Math.min(17.5, stated("members_t2_ms"))), observer + " of n4");
+      assertTrue(
+          first("member",
+              l -> l.name().equals(observer) && l.get("member").equals("n4")
+                  && l.get("state").equals("failed"),
+              14) <= 14 + stated("members_t1_ms"),
+          observer + " did not notice n4");
+      assertEquals("alive", held(observer, "n4", 38 + Math.min(17.5, stated("members_t2_ms"))),
+          observer + " of n4");
     }
-    assertTrue(history.stream().anyMatch(l -> l.kind().equals("away") && l.name().equals("n4")), "n4 was never away");
+    assertTrue(history.stream().anyMatch(l -> l.kind().equals("away") && l.name().equals("n4")),
+        "n4 was never away");
   }
 
   /** Two halves of three for 10 s, 30 % loss with duplicates and reordering throughout: neither side takes anything over. */
@@ -266,7 +282,8 @@
         from = "n0-2"
         to = "n3-5"
         """, 0);
-    assertTrue(history.stream().noneMatch(l -> l.kind().equals("share") && l.get("is").equals("more")), "one took over");
+    assertTrue(history.stream().noneMatch(l -> l.kind().equals("share") && l.get("is").equals("more")),
+        "one took over");
     assertTrue(16 + stated("members_t3_ms") <= 60, "T3 does not fit the run");
     for (int i = 0; i < 6; i++) for (int k = 0; k < 6; k++) {
       assertEquals("alive", held("n" + i, "n" + k, 16 + stated("members_t3_ms")), "n" + i + " of n" + k);
--- a/src/test/java/saltlatch/lab/PlanTest.java
+++ b/src/test/java/saltlatch/lab/PlanTest.java
@@ -57,7 +57,8 @@
     List<Offered.Arrival> a = Offered.of(Scenario.parse(BASE));
     List<Offered.Arrival> b = Offered.of(Scenario.parse(BASE));
     assertEquals(Offered.digest(a), Offered.digest(b));
-    assertNotEquals(Offered.digest(a), Offered.digest(Offered.of(Scenario.parse(BASE.replace("seed = 11", "seed = 12")))));
+    assertNotEquals(Offered.digest(a),
+        Offered.digest(Offered.of(Scenario.parse(BASE.replace("seed = 11", "seed = 12")))));
   }
 
   @Test
@@ -73,7 +74,8 @@
   @Test
   void badScenariosAreRefused() {
     assertThrows(IOException.class, () -> Scenario.parse(BASE + "\nbogus = 1\n"));
-    assertThrows(IllegalArgumentException.class, () -> Scenario.parse(BASE.replace("\"slow\"", "\"slowly\"")));
+    assertThrows(IllegalArgumentException.class,
+        () -> Scenario.parse(BASE.replace("\"slow\"", "\"slowly\"")));
   }
 
   /** A cold box that twenty nodes pile onto tips over, fails for a while, then serves at its ramped capacity. */
@@ -89,7 +91,8 @@
       for (int k = 0; k < load; k++) {
         Box.Turn t = box.take(ms, inProgress + k);
         verdicts.append(t.verdict().name().charAt(0));
-        if (k == 0 && t.verdict() == Box.Verdict.SERVE) verdicts.append(String.format(Locale.ROOT, "(%.0fms)", t.latencyMs()));
+        if (k == 0 && t.verdict() == Box.Verdict.SERVE)
+          verdicts.append(String.format(Locale.ROOT, "(%.0fms)", t.latencyMs()));
       }
       trace.append(String.format(Locale.ROOT, "t=%5.0f cap=%5.2f %s%n", ms, box.capacity(ms), verdicts));
     }
@@ -118,7 +121,8 @@
 
   static String kept(String name) throws IOException {
     try (InputStream in = PlanTest.class.getResourceAsStream("/traces/" + name)) {
-      return in == null ? "(no kept trace " + name + ")" : new String(in.readAllBytes(), StandardCharsets.UTF_8);
+      return in == null ? "(no kept trace " + name + ")"
+          : new String(in.readAllBytes(), StandardCharsets.UTF_8);
     }
   }
 }
--- a/src/test/java/saltlatch/lab/ProcessesIT.java
+++ b/src/test/java/saltlatch/lab/ProcessesIT.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -44,8 +43,7 @@
       deadline_ms = 2000
       """;
 
-  @TempDir
-  Path dir;
+  @TempDir Path dir;
 
   private List<Line> history;
 
@@ -75,9 +73,11 @@
     double longest = away.stream().mapToDouble(l -> l.number("for_ms")).max().orElse(0);
     assertTrue(longest > 7_800 && longest < 9_500, "away for " + longest + " ms"); // 8 s, a round and a busy machine
     Map<String, Line> late = new HashMap<>();
-    for (Line l : of("n1", "arrived")) if (l.number("age_ms") >= l.number("wait_ms")) late.put(l.get("id"), l);
+    for (Line l : of("n1", "arrived"))
+      if (l.number("age_ms") >= l.number("wait_ms")) late.put(l.get("id"), l);
     // The front deals it a quarter of 60 reqs/s for the 2 s until it notices; half of those is far below that.
-    assertTrue(late.size() >= 15, late.size() + " reqs were read too late: the test did not cause its failure");
+    assertTrue(late.size() >= 15,
+        late.size() + " reqs were read too late: the test did not cause its failure");
     for (Line l : of("n1", "dispatched")) {
       assertTrue(!late.containsKey(l.get("id")), "sent out too late: " + late.get(l.get("id")) + " " + l);
     }
@@ -88,14 +88,16 @@
   void killedAndBackAtOnce() throws Exception {
     run("[[processes.faults]]\nkind = \"kill\"\nat_s = 4\nnodes = \"n2\"\nrestart = true\nold_config = true\n"
         + "[old_plan]\nrate = 19\nburst = 70\naim_ms = 1000\ndeadline_ms = 2000\n");
-    assertTrue(Files.readString(dir.resolve("n2.json")).contains("\"refill\":19.0"), "not the older configuration");
+    assertTrue(Files.readString(dir.resolve("n2.json")).contains("\"refill\":19.0"),
+        "not the older configuration");
     List<Line> started = of("n2", "started");
     assertEquals(2, started.size());
     assertTrue(!started.get(0).incarnation().equals(started.get(1).incarnation()));
     double took = (of("n2", "ready").get(1).monoNs() - of("director", "fault").get(0).monoNs()) / 1e9;
     assertTrue(took < 6, "ready again after " + took + " s"); // 0.5 s by itself; others use the cores meanwhile
-    double served = of("n2", "answered").stream().filter(l -> l.incarnation().equals(started.get(1).incarnation())
-        && l.get("how").equals("passed")).count();
+    double served = of("n2", "answered").stream()
+        .filter(l -> l.incarnation().equals(started.get(1).incarnation()) && l.get("how").equals("passed"))
+        .count();
     assertTrue(served > 20, "the new process passed " + served);
   }
 
@@ -124,7 +126,8 @@
     long told = r.nodeCounters().get(1).get("peers_told");
     assertTrue(told > 0, "n1 told nothing while the counter was silent");
     assertTrue(r.emulator().get("peer_datagrams_lost") > 0, "none was cut off");
-    assertTrue(r.relayDelayUs().get("chunks") > 100 && r.relayDelayUs().get("p50") < 2_000, r.relayDelayUs().toString());
+    assertTrue(r.relayDelayUs().get("chunks") > 100 && r.relayDelayUs().get("p50") < 2_000,
+        r.relayDelayUs().toString());
     for (int i = 0; i < 4; i++) assertEquals(0L, r.nodeCounters().get(i).get("exceptions"));
   }
 }
--- a/src/test/java/saltlatch/lab/RigTest.java
+++ b/src/test/java/saltlatch/lab/RigTest.java
@@ -41,7 +41,8 @@
     assertEquals(List.of(0, 1, 2, 5), g.nodes(7));
     assertTrue(g.holds("s9") && !g.holds("counter") && !g.holds("n3"));
     assertThrows(IllegalArgumentException.class, () -> Group.of("n1,everybody"));
-    assertThrows(IllegalArgumentException.class, () -> Scenario.parse("[[links.faults]]\nkind = \"cut\"\nfrom = \"n0\"\n"));
+    assertThrows(IllegalArgumentException.class,
+        () -> Scenario.parse("[[links.faults]]\nkind = \"cut\"\nfrom = \"n0\"\n"));
     assertThrows(IllegalArgumentException.class,
         () -> Scenario.parse("[[processes.faults]]\nkind = \"kill\"\nnodes = \"n9\"\n"));
   }
@@ -51,7 +52,8 @@
     Links l = new Links(List.of(link("cut", 1, 2, "n1", "n2", true, 0, 0, 0),
         link("flap", 10, 2, "n3", "counter", false, 0, 0, 100)), 5);
     assertTrue(l.cut("n1", "n2", 1_000) && !l.cut("n2", "n1", 1_000) && !l.cut("n1", "n2", 3_000));
-    assertTrue(l.cut("counter", "n3", 10_049) && !l.cut("n3", "counter", 10_051) && l.cut("n3", "counter", 10_101));
+    assertTrue(
+        l.cut("counter", "n3", 10_049) && !l.cut("n3", "counter", 10_051) && l.cut("n3", "counter", 10_101));
     assertTrue(l.everTouches("n2", "n1") && !l.everTouches("n1", "n3"));
   }
 
@@ -59,7 +61,8 @@
   @Property(tries = 50, seed = "17")
   void fatesAreReproducible(@ForAll long seed, @ForAll @IntRange(min = 1, max = 9) int tenths) {
     List<LinkFault> faults = List.of(link("loss", 0, 0, "n0", "n1", true, tenths / 10.0, 0, 0),
-        link("duplicate", 0, 0, "n0", "n1", true, 0.5, 7, 0), link("reorder", 0, 0, "n0-1", "n2", false, 1, 30, 0));
+        link("duplicate", 0, 0, "n0", "n1", true, 0.5, 7, 0),
+        link("reorder", 0, 0, "n0-1", "n2", false, 1, 30, 0));
     Links a = new Links(faults, seed);
     Links b = new Links(faults, seed);
     int lost = 0;
@@ -81,10 +84,12 @@
   void rollingRestart() {
     List<Timeline.Step> t = Timeline.of(List.of(new ProcessFault("term", 2, 0, "n0-2", 5, true, 4.5, true),
         new ProcessFault("pause", 3, 8, "nodes", 0, false, 0, false)), 3);
-    assertEquals(List.of("2000 TERM [0]", "3000 STOP [0, 1, 2]", "6500 START_OLD [0]", "7000 TERM [1]",
-        "11000 CONT [0, 1, 2]", "11500 START_OLD [1]", "12000 TERM [2]", "16500 START_OLD [2]"),
+    assertEquals(
+        List.of("2000 TERM [0]", "3000 STOP [0, 1, 2]", "6500 START_OLD [0]", "7000 TERM [1]",
+            "11000 CONT [0, 1, 2]", "11500 START_OLD [1]", "12000 TERM [2]", "16500 START_OLD [2]"),
         t.stream().map(s -> (long) s.atMs() + " " + s.act() + " " + s.nodes()).toList());
-    assertEquals(Act.KILL, Timeline.of(List.of(new ProcessFault("kill", 0, 0, "n1", 0, false, 0, false)), 3).get(0).act());
+    assertEquals(Act.KILL,
+        Timeline.of(List.of(new ProcessFault("kill", 0, 0, "n1", 0, false, 0, false)), 3).get(0).act());
   }
 
   @Test
@@ -109,7 +114,8 @@
     Links links = new Links(List.of(link("cut", cutAt, 1.5, "n0", "counter", false, 0, 0, 0)), 1);
     try (ServerSocket target = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         Relays relays = new Relays(links, clock);
-        Socket s = new Socket(InetAddress.getLoopbackAddress(), relays.port("n0", "counter", target.getLocalPort()));
+        Socket s = new Socket(InetAddress.getLoopbackAddress(),
+            relays.port("n0", "counter", target.getLocalPort()));
         Socket t = target.accept()) {
       InetSocketAddress relay = (InetSocketAddress) s.getRemoteSocketAddress();
       assertEquals(target.getLocalPort(), relays.port("n1", "counter", target.getLocalPort())); // no fault, no relay
--- a/src/test/java/saltlatch/member/Fleet.java
+++ b/src/test/java/saltlatch/member/Fleet.java
@@ -37,8 +37,8 @@
   double loss;
   BiPredicate<Integer, Integer> reach = (a, b) -> true;
   private final List<ArrayDeque<Runnable>> queues = new ArrayList<>();
-  private final PriorityQueue<Step> steps =
-      new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+  private final PriorityQueue<Step> steps = new PriorityQueue<>(
+      (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
   private final SplittableRandom chance;
   private final long seed;
   private long order;
@@ -63,31 +63,34 @@
   void start(int i) {
     dead[i] = false;
     Membership[] self = new Membership[1];
-    self[0] = members[i] = new Membership(terms, i, 1 + now / SECOND, seed * 1000 + i, clock(i), new Membership.Out() {
-      @Override
-      public void send(int to, Message m) {
-        byte[] bytes = MemberForm.write(m);
-        if (bytes.length > 256) throw new IllegalStateException(bytes.length + " bytes");
-        sent++;
-        burst = Math.max(burst, ++lately);
-        if (chance.nextDouble() < loss) return;
-        long at = now + 1 + (long) (REORDER * chance.nextDouble());
-        after(at, () -> {
-          if (!dead[to] && reach.test(i, to)) run(to, () -> {
-            members[to].heard(clock(to), i, MemberForm.read(bytes));
-            shares[to].follow(members[to].members());
-          });
+    self[0] = members[i] = new Membership(terms, i, 1 + now / SECOND, seed * 1000 + i, clock(i),
+        new Membership.Out() {
+          @Override
+          public void send(int to, Message m) {
+            byte[] bytes = MemberForm.write(m);
+            if (bytes.length > 256) throw new IllegalStateException(bytes.length + " bytes");
+            sent++;
+            burst = Math.max(burst, ++lately);
+            if (chance.nextDouble() < loss) return;
+            long at = now + 1 + (long) (REORDER * chance.nextDouble());
+            after(at, () -> {
+              if (!dead[to] && reach.test(i, to)) run(to, () -> {
+                members[to].heard(clock(to), i, MemberForm.read(bytes));
+                shares[to].follow(members[to].members());
+              });
+            });
+          }
+
+          @Override
+          public void changed(int member, State state, long inc, long version) {
+            history.append(now).append(' ').append(i).append(' ').append(member).append(state).append(inc)
+                .append('\n');
+            if (state != State.FAILED) return;
+            failedAt.put(i + ">" + member, now);
+            if (!dead[member] && !paused[member] && reach.test(i, member) && reach.test(member, i))
+              falseFailures++;
+          }
         });
-      }
-
-      @Override
-      public void changed(int member, State state, long inc, long version) {
-        history.append(now).append(' ').append(i).append(' ').append(member).append(state).append(inc).append('\n');
-        if (state != State.FAILED) return;
-        failedAt.put(i + ">" + member, now);
-        if (!dead[member] && !paused[member] && reach.test(i, member) && reach.test(member, i)) falseFailures++;
-      }
-    });
     shares[i] = new Shares(i, terms.members());
     shares[i].follow(self[0].members());
     tick(i, self[0]);
--- a/src/test/java/saltlatch/member/MembershipMeasure.java
+++ b/src/test/java/saltlatch/member/MembershipMeasure.java
@@ -36,8 +36,8 @@
       }
       print(n, "T1", failed, terms.failedWithin());
       print(n, "T3", equal, terms.equalWithin());
-      System.out.printf(Locale.ROOT, "MEASURED %d members: %.2f datagrams a second each sent, %.1f stated%n", n, cost,
-          terms.datagramsPerSecond());
+      System.out.printf(Locale.ROOT, "MEASURED %d members: %.2f datagrams a second each sent, %.1f stated%n",
+          n, cost, terms.datagramsPerSecond());
     }
   }
 
@@ -66,15 +66,16 @@
         f.loss = 0;
         assertTrue(f.until(f::agree, f.terms.equalWithin()) >= 0);
       }
-      System.out.printf(Locale.ROOT, "MEASURED loss %.1f: %d false verdicts in 5 x 10 minutes of 20 members%n", loss, wrong);
+      System.out.printf(Locale.ROOT,
+          "MEASURED loss %.1f: %d false verdicts in 5 x 10 minutes of 20 members%n", loss, wrong);
       assertTrue(loss > 0.1 || wrong == 0);
     }
   }
 
   private static void print(int n, String what, double[] times, long stated) {
     Arrays.sort(times);
-    System.out.printf(Locale.ROOT, "MEASURED %d members, %s: p50 %.1f s, max %.1f s of %d; stated %.1f s%n", n, what,
-        times[times.length / 2] / Fleet.SECOND, times[times.length - 1] / Fleet.SECOND, times.length,
+    System.out.printf(Locale.ROOT, "MEASURED %d members, %s: p50 %.1f s, max %.1f s of %d; stated %.1f s%n",
+        n, what, times[times.length / 2] / Fleet.SECOND, times[times.length - 1] / Fleet.SECOND, times.length,
         (double) stated / Fleet.SECOND);
   }
 }
--- a/src/test/java/saltlatch/member/MembershipTest.java
+++ b/src/test/java/saltlatch/member/MembershipTest.java
@@ -150,13 +150,15 @@
       f.loss = 0.1;
       f.pass(30 * Fleet.SECOND);
       double each = (f.sent - before) / 30.0 / n;
-      assertTrue(each <= f.terms.datagramsPerSecond() && f.terms.datagramsPerSecond() <= 30.01, n + ": " + each);
+      assertTrue(each <= f.terms.datagramsPerSecond() && f.terms.datagramsPerSecond() <= 30.01,
+          n + ": " + each);
     }
   }
 
   /** Random kills, pauses, cuts and loss; after all is healed, views are equal within T3, and the dead are failed. */
   @Property(tries = 12, seed = "31")
-  void randomFaultsEndInAgreement(@ForAll @IntRange(min = 5, max = 30) int n, @ForAll @IntRange(max = 1_000_000) int seed) {
+  void randomFaultsEndInAgreement(@ForAll @IntRange(min = 5, max = 30) int n,
+      @ForAll @IntRange(max = 1_000_000) int seed) {
     Fleet f = joined(n, seed);
     SplittableRandom chance = new SplittableRandom(seed);
     for (int i = 0; i < 6; i++) {
@@ -173,13 +175,15 @@
     }
     f.reach = (a, b) -> true;
     f.loss = 0.1;
-    assertTrue(f.until(f::agree, f.terms.failedWithin() + f.terms.equalWithin()) >= 0, "no agreement after the heal");
+    assertTrue(f.until(f::agree, f.terms.failedWithin() + f.terms.equalWithin()) >= 0,
+        "no agreement after the heal");
     assertTrue(f.mostShared <= 1 + 1e-9, f.mostShared + " quotas in use");
   }
 
   /** Kills, restarts, pauses, splits, one-way cuts and bridges that last as long as leases do: shares never sum above 1. */
   @Property(tries = 150, seed = "34")
-  void sharesNeverSumAboveTheQuota(@ForAll @IntRange(min = 2, max = 9) int n, @ForAll @IntRange(max = 1_000_000) int seed) {
+  void sharesNeverSumAboveTheQuota(@ForAll @IntRange(min = 2, max = 9) int n,
+      @ForAll @IntRange(max = 1_000_000) int seed) {
     SplittableRandom chance = new SplittableRandom(seed);
     Fleet f = new Fleet(n, seed);
     for (int i = 0; i < 14; i++) {
@@ -210,10 +214,12 @@
     assertEquals(1, f.shared(0, 5), 1e-9);
     f.dead[3] = true;
     double full = 1 - Shares.FLOOR / 5;
-    long took = f.until(() -> f.shared(0, 5) > full - 1e-9, f.terms.failedWithin() + f.terms.takenOverWithin());
+    long took = f.until(() -> f.shared(0, 5) > full - 1e-9,
+        f.terms.failedWithin() + f.terms.takenOverWithin());
     assertTrue(took > 0, f.shared(0, 5) + " of " + full);
     f.start(3);
-    assertTrue(f.until(() -> f.shares[3].own(f.now, 0, 5) > 0.2 - 1e-9, f.terms.equalWithin() + 2 * f.terms.leaseOver()) > 0);
+    assertTrue(f.until(() -> f.shares[3].own(f.now, 0, 5) > 0.2 - 1e-9,
+        f.terms.equalWithin() + 2 * f.terms.leaseOver()) > 0);
     assertTrue(f.mostShared <= 1 + 1e-9, f.mostShared + " quotas in use");
   }
 
@@ -229,7 +235,8 @@
     assertEquals(Shares.FLOOR / 5, f.shares[0].own(f.now, 0, 5), 1e-9);
     assertEquals((1 - 2 * Shares.FLOOR / 5) / 3, f.shares[4].own(f.now, 0, 5), 1e-9);
     f.reach = (a, b) -> true;
-    assertTrue(f.until(() -> f.agree() && f.shared(0, 5) > 1 - 1e-9, f.terms.equalWithin() + 2 * f.terms.leaseOver()) > 0);
+    assertTrue(f.until(() -> f.agree() && f.shared(0, 5) > 1 - 1e-9,
+        f.terms.equalWithin() + 2 * f.terms.leaseOver()) > 0);
     Fleet g = joined(6, 13);
     g.reach = (a, b) -> a < 3 == b < 3;
     g.pass(g.terms.failedWithin() + g.terms.takenOverWithin());
@@ -269,14 +276,15 @@
     });
     long[] high = new long[6];
     for (int i = 0; i < 300; i++) {
-      List<News> news = List.of(new News(chance.nextInt(8), State.values()[chance.nextInt(5)], chance.nextInt(9),
-          chance.nextInt(8)));
+      List<News> news = List.of(new News(chance.nextInt(8), State.values()[chance.nextInt(5)],
+          chance.nextInt(9), chance.nextInt(8)));
       int from = chance.nextInt(8) - 1;
-      m.heard(i * 100, from, new Message(Kind.values()[chance.nextInt(4)], chance.nextInt(9), chance.nextInt(9),
-          chance.nextInt(9), chance.nextLong(), chance.nextBoolean(), news));
+      m.heard(i * 100, from, new Message(Kind.values()[chance.nextInt(4)], chance.nextInt(9),
+          chance.nextInt(9), chance.nextInt(9), chance.nextLong(), chance.nextBoolean(), news));
       m.tick(i * 100);
       for (int k = 0; k < 6; k++) {
-        assertTrue(m.incarnation(k) >= high[k], "member " + k + " fell from " + high[k] + " to " + m.incarnation(k));
+        assertTrue(m.incarnation(k) >= high[k],
+            "member " + k + " fell from " + high[k] + " to " + m.incarnation(k));
         high[k] = m.incarnation(k);
       }
       assertEquals(State.ALIVE, m.state(0)); // it refutes whatever is said of itself
--- a/src/test/java/saltlatch/member/SharesTest.java
+++ b/src/test/java/saltlatch/member/SharesTest.java
@@ -34,9 +34,11 @@
     for (int i = 0; i < n; i++) all.add(node(i, n, Long.MAX_VALUE));
     for (long now = 10_000; now <= 60_000; now += 10_000) {
       List<Told> words = new ArrayList<>();
-      for (Shares s : all) words.add(SumsForm.read(SumsForm.write(new Told(List.of(), s.hearing(now, WITHIN)))));
+      for (Shares s : all)
+        words.add(SumsForm.read(SumsForm.write(new Told(List.of(), s.hearing(now, WITHIN)))));
       for (int a = 0; a < n; a++) {
-        for (int b = 0; b < n; b++) if (a != b && reach[a][b]) all.get(b).heard(now, a, words.get(a).hearing());
+        for (int b = 0; b < n; b++)
+          if (a != b && reach[a][b]) all.get(b).heard(now, a, words.get(a).hearing());
       }
     }
     return all;
@@ -71,7 +73,8 @@
 
   /** Whatever links are cut, and in which direction: what all pools may use sums to no more than one. */
   @Property(tries = 300, seed = "41")
-  void poolsArePartition(@ForAll @IntRange(min = 2, max = 12) int n, @ForAll @IntRange(max = 1_000_000) int seed) {
+  void poolsArePartition(@ForAll @IntRange(min = 2, max = 12) int n,
+      @ForAll @IntRange(max = 1_000_000) int seed) {
     SplittableRandom chance = new SplittableRandom(seed);
     double cut = 0.5 * chance.nextDouble();
     boolean[][] reach = links(n, (a, b) -> chance.nextDouble() >= cut);
@@ -90,7 +93,8 @@
     List<Shares> all = told(links(3, (a, b) -> true));
     all.get(0).heard(60_000, 2, null);
     assertEquals(2 / 3.0, all.get(0).pooled(60_000, WITHIN, 0, 3), 1e-9);
-    byte[] words = SumsForm.write(new Told(List.of(new Told.Sum(7, 2, 4.5)), all.get(0).hearing(60_000, WITHIN)));
+    byte[] words = SumsForm
+        .write(new Told(List.of(new Told.Sum(7, 2, 4.5)), all.get(0).hearing(60_000, WITHIN)));
     assertTrue(words[0] == 0x51 && (words.length - 1) % 7 == 0 && words.length <= 256);
     for (int at = 1; at + 7 < words.length; at += 7) assertEquals(-1, words[at], "an id that customers have");
   }
--- a/src/test/java/saltlatch/node/ClosingTest.java
+++ b/src/test/java/saltlatch/node/ClosingTest.java
@@ -52,13 +52,13 @@
     int port = appSrv.getLocalPort();
     appSrv.close();
     try (Narrow srv = new Narrow(port)) {
-    Socket c = client();
-    say(c, submit(0));
-    assertEquals("arrived 0 waits 900", next());
-    assertEquals("ended 0/0 NOT_CONNECTED", next());
-    assertEquals("-ERR aborted", line(c));
-    int got = srv.readToEnd();
-    assertTrue(got < 60_000, got + " bytes");
+      Socket c = client();
+      say(c, submit(0));
+      assertEquals("arrived 0 waits 900", next());
+      assertEquals("ended 0/0 NOT_CONNECTED", next());
+      assertEquals("-ERR aborted", line(c));
+      int got = srv.readToEnd();
+      assertTrue(got < 60_000, got + " bytes");
     }
   }
 
@@ -85,7 +85,8 @@
 
   /** An app srv that reads nothing until asked, with segments so short that the node's system holds few bytes. */
   private static final class Narrow implements AutoCloseable {
-    private final MultiThreadIoEventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, EpollIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup loop = new MultiThreadIoEventLoopGroup(1,
+        EpollIoHandler.newFactory());
     private final AtomicInteger read = new AtomicInteger();
     private final CompletableFuture<Channel> peer = new CompletableFuture<>();
     private final CompletableFuture<Void> over = new CompletableFuture<>();
@@ -94,8 +95,7 @@
       new ServerBootstrap().group(loop).channel(EpollServerSocketChannel.class)
           .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_RCVBUF, 2_048)
           .option(new IntegerUnixChannelOption("TCP_MAXSEG", 6, 2), 128)
-          .childOption(ChannelOption.AUTO_READ, false)
-          .childHandler(new ChannelInboundHandlerAdapter() {
+          .childOption(ChannelOption.AUTO_READ, false).childHandler(new ChannelInboundHandlerAdapter() {
             @Override
             public void channelActive(ChannelHandlerContext at) {
               peer.complete(at.channel());
@@ -135,7 +135,8 @@
   private void clientThatReadsNothing() throws Exception {
     try (SocketChannel c = SocketChannel.open(new InetSocketAddress("127.0.0.1", node.port()))) {
       c.configureBlocking(false);
-      ByteBuffer many = ByteBuffer.wrap("*1\r\n$4\r\nINFO\r\n".repeat(2_000_000).getBytes(StandardCharsets.ISO_8859_1));
+      ByteBuffer many = ByteBuffer
+          .wrap("*1\r\n$4\r\nINFO\r\n".repeat(2_000_000).getBytes(StandardCharsets.ISO_8859_1));
       long since = System.nanoTime();
       while (many.hasRemaining() && System.nanoTime() - since < 1_000_000_000L) {
         if (c.write(many) > 0) since = System.nanoTime();
--- a/src/test/java/saltlatch/node/CrossingTest.java
+++ b/src/test/java/saltlatch/node/CrossingTest.java
@@ -98,7 +98,8 @@
     hold.over.countDown();
     assertEquals("-BUSY", line(first));
     List<String> batch = batches.poll(20, TimeUnit.SECONDS);
-    while (batch != null && !batch.contains("arrived 1 waits 900")) batch = batches.poll(20, TimeUnit.SECONDS);
+    while (batch != null && !batch.contains("arrived 1 waits 900"))
+      batch = batches.poll(20, TimeUnit.SECONDS);
     assertEquals(List.of("arrived 1 waits 900", "left 1"), batch);
   }
 
--- a/src/test/java/saltlatch/node/NodeHarness.java
+++ b/src/test/java/saltlatch/node/NodeHarness.java
@@ -39,7 +39,7 @@
   Serve node;
   volatile Actions to;
   boolean stopped;
-  volatile Consumer<Event> script = e -> { };
+  volatile Consumer<Event> script = e -> {};
   volatile boolean permit = true; // what the module says of a dispatch whose connection comes up late
   final BlockingQueue<String> asked = new LinkedBlockingQueue<>();
   final BlockingQueue<List<String>> batches = new LinkedBlockingQueue<>();
@@ -86,24 +86,29 @@
   }
 
   String config() throws IOException {
-    return Files.readString(Path.of("deploy/sample.json"))
-        .replace("\"countLimit\":30", "\"countLimit\":1000").replace("\"connectTimeout\":250", "\"connectTimeout\":5000")
+    return Files.readString(Path.of("deploy/sample.json")).replace("\"countLimit\":30", "\"countLimit\":1000")
+        .replace("\"connectTimeout\":250", "\"connectTimeout\":5000")
         .replace("\"listen\":\"127.0.0.1:16379\"", "\"listen\":\"127.0.0.1:0\"")
         .replace("\"peer_listen\":\"127.0.0.1:16379\"", "\"peer_listen\":\"127.0.0.1:0\"")
         .replace("\"peers\":[\"127.0.0.1:16379\"]", "\"peers\":[\"127.0.0.1:" + peer.getLocalPort() + "\"]")
-        .replace("\"discovery\":\"127.0.0.1:16379\"", "\"discovery\":\"127.0.0.1:" + discovery.getLocalPort() + "\"")
-        .replace("\"counter\":\"127.0.0.1:16379\"", "\"counter\":\"127.0.0.1:" + counter.getLocalPort() + "\"")
-        .replace("\"address\":\"127.0.0.1:16379\"", "\"address\":\"127.0.0.1:" + appSrv.getLocalPort() + "\"");
+        .replace("\"discovery\":\"127.0.0.1:16379\"",
+            "\"discovery\":\"127.0.0.1:" + discovery.getLocalPort() + "\"")
+        .replace("\"counter\":\"127.0.0.1:16379\"",
+            "\"counter\":\"127.0.0.1:" + counter.getLocalPort() + "\"")
+        .replace("\"address\":\"127.0.0.1:16379\"",
+            "\"address\":\"127.0.0.1:" + appSrv.getLocalPort() + "\"");
   }
 
   static String text(Event e) {
     if (e instanceof Event.Arrived a) return "arrived " + a.rid() + " waits " + a.left() / 10;
-    if (e instanceof Event.Ended d) return "ended " + d.rid() + "/" + d.dispatch() + " " + d.how() + (d.over() ? " over" : "");
+    if (e instanceof Event.Ended d)
+      return "ended " + d.rid() + "/" + d.dispatch() + " " + d.how() + (d.over() ? " over" : "");
     if (e instanceof Event.Counted c) return "counted " + c.name() + " " + c.how() + " " + c.total();
     if (e instanceof Event.ClientLeft c) return "left " + c.rid();
     if (e instanceof Event.Probed p) return "probed " + p.how() + " " + p.load();
     if (e instanceof Event.Listed l) {
-      return "listed " + l.kind() + " " + l.entries().stream().map(x -> x.srv() + " " + x.condition()).toList();
+      return "listed " + l.kind() + " "
+          + l.entries().stream().map(x -> x.srv() + " " + x.condition()).toList();
     }
     if (e instanceof Event.Heard h) return "heard " + h.from() + " " + h.told().sums();
     return e.getClass().getSimpleName();
--- a/src/test/java/saltlatch/node/NodeTest.java
+++ b/src/test/java/saltlatch/node/NodeTest.java
@@ -45,8 +45,11 @@
     script = e -> to.deny(rid(e), 0);
     Socket good = client();
     Socket bad = client();
-    say(bad, "*1\r\n$4\r\nPING\r\n" + req(1).replace("d=900", "d=9x0") + "*1\r\n$7\r\nCOMMAND\r\n" + "GET / HTTP/1.1\r\n\r\n");
-    assertEquals("+PONG -ERR malformed command -ERR unknown command -ERR Protocol error: no RESP2 value closed", lines(bad, 5));
+    say(bad, "*1\r\n$4\r\nPING\r\n" + req(1).replace("d=900", "d=9x0") + "*1\r\n$7\r\nCOMMAND\r\n"
+        + "GET / HTTP/1.1\r\n\r\n");
+    assertEquals(
+        "+PONG -ERR malformed command -ERR unknown command -ERR Protocol error: no RESP2 value closed",
+        lines(bad, 5));
     say(good, req(1).replace("c=read", "c=rexd") + req(1));
     assertEquals("-ERR aborted -BUSY", lines(good, 2));
   }
@@ -156,14 +159,15 @@
       if (e instanceof Event.Ended d) to.abort(d.rid());
     };
     Socket c = client();
-    String[] answers = {"+OK\r\n", ":7\r\n", "*2\r\n$-1\r\n$-1\r\n", "-BUSYX\r\n", "*1\r\n$3000000000\r\nxx", "\0\1\r\n",
-        "*1\r\n$9\r\nhalf of it"};
+    String[] answers = {"+OK\r\n", ":7\r\n", "*2\r\n$-1\r\n$-1\r\n", "-BUSYX\r\n", "*1\r\n$3000000000\r\nxx",
+        "\0\1\r\n", "*1\r\n$9\r\nhalf of it"};
     for (int i = 0; i < answers.length; i++) {
       say(c, req(i));
       Socket s = accept(appSrv);
       lines(s, 9);
       say(s, answers[i]);
-      assertEquals("arrived " + i + " waits 900 ended " + i + "/0 BROKEN closed", next() + " " + next() + " " + line(s));
+      assertEquals("arrived " + i + " waits 900 ended " + i + "/0 BROKEN closed",
+          next() + " " + next() + " " + line(s));
       assertEquals("-ERR aborted", line(c));
     }
   }
@@ -199,7 +203,9 @@
     Socket c = client();
     say(c, req(0));
     Socket s = accept(appSrv);
-    assertEquals("*4 $9 SVC.QUERY $16 0000000000000007 $2 10 $39 c=read,t=plan,d=500,units=1,spread=1,n= closed", lines(s, 10));
+    assertEquals(
+        "*4 $9 SVC.QUERY $16 0000000000000007 $2 10 $39 c=read,t=plan,d=500,units=1,spread=1,n= closed",
+        lines(s, 10));
     assertEquals("arrived 0 waits 900 ended 0/0 LATE", next() + " " + next());
     assertEquals("-ERR aborted", line(c));
     say(c, req(1));
@@ -210,7 +216,8 @@
     say(c, req(2));
     s = accept(appSrv);
     lines(s, 9);
-    assertEquals("arrived 1 waits 900 ended 1/0 PASSED over arrived 2 waits 900", next() + " " + next() + " " + next());
+    assertEquals("arrived 1 waits 900 ended 1/0 PASSED over arrived 2 waits 900",
+        next() + " " + next() + " " + next());
     c.close();
     assertEquals("left 2 ended 2/0 CANCELLED over closed", next() + " " + next() + " " + line(s));
   }
@@ -244,7 +251,8 @@
     say(c, req(4));
     assertEquals("arrived 4 waits 900 counted 255 NOT_CONNECTED 0.0", next() + " " + next());
     List<String> figures = info(c);
-    assertTrue(figures.containsAll(List.of("reqs=5", "counted=5", "counts_answered=1", "counter_opened=1")), figures.toString());
+    assertTrue(figures.containsAll(List.of("reqs=5", "counted=5", "counts_answered=1", "counter_opened=1")),
+        figures.toString());
   }
 
   /** A watch that ends is taken up again from the version last told, as after a line that makes no sense. */
@@ -262,7 +270,8 @@
     s.close();
     s = accept(discovery);
     assertEquals("GET /api/targets?follow=1&since=7 HTTP/1.1", line(s));
-    String body = line.replace("false", "true").replace("Terminating", "Ready").replace("s-1", "s-2").replace("7", "8");
+    String body = line.replace("false", "true").replace("Terminating", "Ready").replace("s-1", "s-2")
+        .replace("7", "8");
     stream(s, body);
     assertEquals("listed WHOLE [2 READY]", next());
   }
@@ -319,7 +328,7 @@
     CountDownLatch read = new CountDownLatch(1); // the file, and what it says was handed over
     early.loop.runOnContext(v -> early.vertx.executeBlocking(() -> 0).onSuccess(x -> read.countDown()));
     assertTrue(read.await(20, TimeUnit.SECONDS));
-    early.start((now, site, out) -> (at, events) -> { }).toCompletionStage().toCompletableFuture().get();
+    early.start((now, site, out) -> (at, events) -> {}).toCompletionStage().toCompletableFuture().get();
     assertEquals("GET /api/targets?follow=1&since=1 HTTP/1.1", line(accept(discovery)));
     was.close();
     early.stop().toCompletionStage().toCompletableFuture().get();
@@ -347,7 +356,8 @@
     say(client(), req(0));
     DatagramPacket packet = new DatagramPacket(new byte[300], 300);
     peer.receive(packet);
-    peer.send(new DatagramPacket("hello".getBytes(StandardCharsets.ISO_8859_1), 5, packet.getSocketAddress()));
+    peer.send(
+        new DatagramPacket("hello".getBytes(StandardCharsets.ISO_8859_1), 5, packet.getSocketAddress()));
     peer.send(packet);
     assertEquals("arrived 0 waits 900 heard 0 [Sum[customer=7, turn=2, units=1.5]]", next() + " " + next());
   }
@@ -395,8 +405,8 @@
   @Test
   void badConfiguration(@TempDir Path dir) throws IOException {
     ByteArrayOutputStream err = new ByteArrayOutputStream();
-    String[] keys = {"name", "seed", "listen", "discovery", "settings", "limits", "known", "sockets", "memory_mb", "categories",
-        "peers", "counter", "connIdle", "aim", "refill", "cancelling", "effect"};
+    String[] keys = {"name", "seed", "listen", "discovery", "settings", "limits", "known", "sockets",
+        "memory_mb", "categories", "peers", "counter", "connIdle", "aim", "refill", "cancelling", "effect"};
     for (String key : keys) {
       String wrong = config().replaceFirst("\"" + key + "\":", "\"" + key + "\":[[]],\"was\":");
       Path path = Files.writeString(dir.resolve("config.json"), wrong);
@@ -404,13 +414,15 @@
       assertEquals(2, Serve.run((now, site, out) -> null, path.toString(), new PrintStream(one)), key);
       assertTrue(one.toString().lines().count() == 1 && one.toString().contains(key), one.toString());
     }
-    String[] texts = {"", "{", "{}", config().replace("1024", "100"), config().replace("0000000000000001", "seed"),
-        config().replace("127.0.0.1:0\"", "127.0.0.1\"")};
+    String[] texts = {"", "{", "{}", config().replace("1024", "100"),
+        config().replace("0000000000000001", "seed"), config().replace("127.0.0.1:0\"", "127.0.0.1\"")};
     for (String text : texts) {
       Path path = Files.writeString(dir.resolve("config.json"), text);
       assertEquals(2, Serve.run((now, site, out) -> null, path.toString(), new PrintStream(err)));
     }
-    assertEquals(2, Serve.run((now, site, out) -> null, dir.resolve("none").toString(), new PrintStream(err)));
-    assertTrue(err.toString().lines().allMatch(l -> l.startsWith("saltlatch serve: configuration ")), err.toString());
+    assertEquals(2,
+        Serve.run((now, site, out) -> null, dir.resolve("none").toString(), new PrintStream(err)));
+    assertTrue(err.toString().lines().allMatch(l -> l.startsWith("saltlatch serve: configuration ")),
+        err.toString());
   }
 }
--- a/src/test/java/saltlatch/node/ProcessIT.java
+++ b/src/test/java/saltlatch/node/ProcessIT.java
@@ -47,12 +47,15 @@
         .replace("\"listen\":\"127.0.0.1:16379\"", "\"listen\":\"127.0.0.1:" + port + "\"")
         .replace("\"peer_listen\":\"127.0.0.1:16379\"", "\"peer_listen\":\"127.0.0.1:" + port + "\"")
         .replace("\"peers\":[\"127.0.0.1:16379\"]", "\"peers\":[\"127.0.0.1:" + port + "\"]")
-        .replace("\"discovery\":\"127.0.0.1:16379\"", "\"discovery\":\"127.0.0.1:" + discovery.getLocalPort() + "\"")
-        .replace("\"counter\":\"127.0.0.1:16379\"", "\"counter\":\"127.0.0.1:" + counter.getLocalPort() + "\"")
+        .replace("\"discovery\":\"127.0.0.1:16379\"",
+            "\"discovery\":\"127.0.0.1:" + discovery.getLocalPort() + "\"")
+        .replace("\"counter\":\"127.0.0.1:16379\"",
+            "\"counter\":\"127.0.0.1:" + counter.getLocalPort() + "\"")
         .replace("\"address\":\"127.0.0.1:16379\"", "\"address\":\"127.0.0.1:9\"");
     Path file = Files.writeString(dir.resolve("config.json"), config);
-    ProcessBuilder command = new ProcessBuilder("sh", "-c", "ulimit -n " + DESCRIPTORS + "; exec "
-        + Path.of(System.getProperty("java.home"), "bin", "java") + " -XX:+UseSerialGC -Xmx64m -jar target/saltlatch.jar serve");
+    ProcessBuilder command = new ProcessBuilder("sh", "-c",
+        "ulimit -n " + DESCRIPTORS + "; exec " + Path.of(System.getProperty("java.home"), "bin", "java")
+            + " -XX:+UseSerialGC -Xmx64m -jar target/saltlatch.jar serve");
     command.environment().put("LB_CONFIG", file.toString());
     process = command.redirectErrorStream(true).redirectOutput(dir.resolve("log.txt").toFile()).start();
   }
@@ -116,9 +119,11 @@
       // the one in hand is waited for still
     }
     NodeHarness.line(watch);
-    NodeHarness.stream(watch, "{\"index\":2,\"snapshot\":true,\"endpoints\":[{\"name\":\"s-2\",\"address\":\"127.0.0.1:"
-        + appSrv.getLocalPort() + "\",\"zone\":\"a\",\"type\":\"m\",\"group\":3,\"status\":\"Ready\",\"weight\":1.0,"
-        + "\"since_ms\":0}]}\n");
+    NodeHarness.stream(watch,
+        "{\"index\":2,\"snapshot\":true,\"endpoints\":[{\"name\":\"s-2\",\"address\":\"127.0.0.1:"
+            + appSrv.getLocalPort()
+            + "\",\"zone\":\"a\",\"type\":\"m\",\"group\":3,\"status\":\"Ready\",\"weight\":1.0,"
+            + "\"since_ms\":0}]}\n");
     Socket c = client();
     NodeHarness.say(c, PING);
     assertEquals("+PONG", NodeHarness.line(c));
@@ -156,7 +161,7 @@
     process.destroy();
     long since = System.nanoTime();
     int answered = 0;
-    for (int i = 0; ; i++) {
+    for (int i = 0;; i++) {
       NodeHarness.say(c, PING);
       if (!NodeHarness.line(c).equals("+PONG")) break;
       answered++;
--- a/src/test/java/saltlatch/node/ShutdownTest.java
+++ b/src/test/java/saltlatch/node/ShutdownTest.java
@@ -116,7 +116,8 @@
   void beforeItIsReady() throws Exception {
     Serve early = new Serve(Station.of(config()));
     CompletableFuture<Void> done = early.stop().toCompletionStage().toCompletableFuture();
-    CompletableFuture<Void> open = early.start((now, site, out) -> (at, events) -> { }).toCompletionStage().toCompletableFuture();
+    CompletableFuture<Void> open = early.start((now, site, out) -> (at, events) -> {}).toCompletionStage()
+        .toCompletableFuture();
     assertThrows(ExecutionException.class, () -> open.get(5, TimeUnit.SECONDS));
     done.get(5, TimeUnit.SECONDS);
   }
--- a/src/test/java/saltlatch/node/WatchTest.java
+++ b/src/test/java/saltlatch/node/WatchTest.java
@@ -145,7 +145,8 @@
   @Test
   void indented() throws Exception {
     Socket s = first();
-    String text = list(2, true, "s-\\\"}{", "Ready").trim().replace(",", ",\n    ").replace("{\"index", "{\n  \"index") + "\n";
+    String text = list(2, true, "s-\\\"}{", "Ready").trim().replace(",", ",\n    ").replace("{\"index",
+        "{\n  \"index") + "\n";
     say(s, HEAD);
     for (int i = 0; i < text.length(); i += 7) chunk(s, text.substring(i, Math.min(text.length(), i + 7)));
     chunk(s, "\n" + list(3, false, "s-3", "Terminating"));
@@ -170,7 +171,8 @@
     } catch (IOException e) {
       // closed already, as it should be
     }
-    stream(last, list(5, true, "s-1", "Ready") + list(6, false, "s-1", "Ready") + list(8, false, "s-4", "Ready"));
+    stream(last,
+        list(5, true, "s-1", "Ready") + list(6, false, "s-1", "Ready") + list(8, false, "s-4", "Ready"));
     assertEquals("listed CHANGES [2 READY]", next());
     was.close();
   }
@@ -180,8 +182,9 @@
   void malformedListsAreAskedForAgain() throws Exception {
     String good = list(2, false, "s-1", "Ready");
     String[] bad = {good.replace("127.0.0.1:9", "nowhere"), good.replace("127.0.0.1:9", "127.0.0.1:x"),
-        good.replace("\"127.0.0.1:9\"", "{}"), good.replace("Ready", "Sleeping"), good.replace("127.0.0.1:9", ""),
-        good.replace("\"since_ms\":0", "\"since_ms\":\"soon\""), "[]\n", "all is well\n"};
+        good.replace("\"127.0.0.1:9\"", "{}"), good.replace("Ready", "Sleeping"),
+        good.replace("127.0.0.1:9", ""), good.replace("\"since_ms\":0", "\"since_ms\":\"soon\""), "[]\n",
+        "all is well\n"};
     for (String one : bad) {
       first();
       stream(last, one + list(3, false, "s-3", "Ready")); // what comes behind it is no help: it would hide what is missing
--- a/src/test/java/saltlatch/rules/RulesTest.java
+++ b/src/test/java/saltlatch/rules/RulesTest.java
@@ -24,8 +24,8 @@
 
   private static RuleSet rules(double rate, RuleSet.Expired expired, String... pins) {
     Site.Frontend f = new Site.Frontend(Site.Effect.REPLAYABLE, Site.Group.ALL, 0, 1_000, 2_000, 1);
-    return new RuleSet(new Version(1, 0), Map.of("plan", new Site.Plan(rate, 4 * rate, 0, 0, 0, 1)), Map.of("read", f),
-        new RuleSet.Limits(4, 1_000), new TreeSet<>(), new TreeSet<>(), new TreeSet<>(),
+    return new RuleSet(new Version(1, 0), Map.of("plan", new Site.Plan(rate, 4 * rate, 0, 0, 0, 1)),
+        Map.of("read", f), new RuleSet.Limits(4, 1_000), new TreeSet<>(), new TreeSet<>(), new TreeSet<>(),
         new TreeSet<>(List.of("n0", "n1", "n2")), // the model has up to five
         new TreeSet<>(List.of(pins)), expired);
   }
@@ -43,8 +43,8 @@
     final double[] drift;
     final List<RuleSet> inForce = new ArrayList<>();
     final List<Long> since = new ArrayList<>();
-    final PriorityQueue<Step> steps =
-        new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    final PriorityQueue<Step> steps = new PriorityQueue<>(
+        (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     long now;
     long order;
     long longest; // for which one acted on a version that another, in force, contradicts
@@ -68,8 +68,9 @@
               council.reported(now, report);
               boolean has = register.inForce() == null || register.inForce().version().equals(report.acts())
                   || register.inForce().version().equals(report.prepared());
-              Follower.Answer a = new Follower.Answer(register.inForce() == null ? Version.NONE
-                  : register.inForce().version(), has ? null : register.inForce(), register.offered());
+              Follower.Answer a = new Follower.Answer(
+                  register.inForce() == null ? Version.NONE : register.inForce().version(),
+                  has ? null : register.inForce(), register.offered());
               after(way(), () -> {
                 if (!cut[me] && !paused[me]) nodes.get(me).answered(clock(me), number, a);
               });
@@ -162,7 +163,7 @@
       switch (chance.nextInt(4)) {
         case 0 -> w.paused[who] = !w.paused[who];
         case 1 -> w.cut[who] = !w.cut[who];
-        default -> { }
+        default -> {}
       }
       w.pass(2 * SECOND);
     }
@@ -172,14 +173,16 @@
   @Property(tries = 200, seed = "51")
   void noContradictionOutlastsTheStatedTime(@ForAll @IntRange(max = 1_000_000) int seed) {
     World w = play(seed, false);
-    assertTrue(w.longest <= TERMS.contradictedAtMost(), w.longest / 10 + " ms, stated " + TERMS.contradictedAtMost() / 10);
+    assertTrue(w.longest <= TERMS.contradictedAtMost(),
+        w.longest / 10 + " ms, stated " + TERMS.contradictedAtMost() / 10);
   }
 
   /** The planted fault that the same schedules must find: a lease counted from the answer's receipt. */
   @Test
   void aLeaseFromReceiptIsFound() {
     int found = 0;
-    for (int seed = 0; seed < 300; seed++) found += play(seed, true).longest > TERMS.contradictedAtMost() ? 1 : 0;
+    for (int seed = 0; seed < 300; seed++)
+      found += play(seed, true).longest > TERMS.contradictedAtMost() ? 1 : 0;
     assertTrue(found > 0, "no schedule of 300 found it");
   }
 
@@ -211,8 +214,8 @@
       w.pass(30 * SECOND);
       boolean waits = how == RuleSet.Expired.WAIT;
       assertEquals(new Version(1, waits ? 1 : 2), w.register.inForce().version());
-      assertEquals(waits ? List.of("n1") : List.of(), waits
-          ? w.council.waitsFor(w.now, w.register.inForce(), w.register.offered()) : List.of());
+      assertEquals(waits ? List.of("n1") : List.of(),
+          waits ? w.council.waitsFor(w.now, w.register.inForce(), w.register.offered()) : List.of());
       assertEquals(waits, w.deniedForLease == 0);
     }
   }
@@ -221,17 +224,22 @@
   @Test
   void theRegisterNeverGoesBackwards() {
     Register r = new Register();
-    assertEquals("offered 1.1", r.apply(new Register.Op.Put(Version.NONE, rules(5, RuleSet.Expired.DENY, "plans.plan"))));
-    assertTrue(r.apply(new Register.Op.Put(Version.NONE, rules(6, RuleSet.Expired.DENY))).startsWith("refused: made for"));
-    assertTrue(r.apply(new Register.Op.Put(r.newest(), rules(6, RuleSet.Expired.DENY))).contains("still offered"));
+    assertEquals("offered 1.1",
+        r.apply(new Register.Op.Put(Version.NONE, rules(5, RuleSet.Expired.DENY, "plans.plan"))));
+    assertTrue(r.apply(new Register.Op.Put(Version.NONE, rules(6, RuleSet.Expired.DENY)))
+        .startsWith("refused: made for"));
+    assertTrue(
+        r.apply(new Register.Op.Put(r.newest(), rules(6, RuleSet.Expired.DENY))).contains("still offered"));
     assertEquals("in force 1.1", r.apply(new Register.Op.Activate(new Version(1, 1))));
     assertTrue(r.apply(new Register.Op.Activate(new Version(1, 1))).startsWith("old:"));
     assertTrue(r.apply(new Register.Op.Put(r.newest(), rules(4, RuleSet.Expired.DENY)))
         .contains("pinned in epoch 1: plans.plan"));
     RuleSet bad = rules(0, RuleSet.Expired.DENY).as(new Version(0, 0));
     assertTrue(r.apply(new Register.Op.Put(r.newest(), bad)).startsWith("refused: epoch 0 is over"));
-    assertEquals("offered 2.1", r.apply(new Register.Op.Put(r.newest(), rules(4, RuleSet.Expired.DENY).as(new Version(2, 0)))));
-    assertEquals("rejected 2.1", r.apply(new Register.Op.Reject(new Version(2, 1), "n1", "plans.plan: reserved is more")));
+    assertEquals("offered 2.1",
+        r.apply(new Register.Op.Put(r.newest(), rules(4, RuleSet.Expired.DENY).as(new Version(2, 0)))));
+    assertEquals("rejected 2.1",
+        r.apply(new Register.Op.Reject(new Version(2, 1), "n1", "plans.plan: reserved is more")));
     assertEquals(new Version(1, 1), r.inForce().version());
     Register again = new Register();
     again.restore(r.state());
@@ -247,7 +255,8 @@
     Version v = register.offered().version();
     long now = TERMS.leaseOver() + 1;
     council.reported(now, new Follower.Report("n0", Version.NONE, v, null, null));
-    council.reported(now, new Follower.Report("n1", Version.NONE, Version.NONE, v, "plans.plan: 60 units are reserved"));
+    council.reported(now,
+        new Follower.Report("n1", Version.NONE, Version.NONE, v, "plans.plan: 60 units are reserved"));
     assertEquals("rejected 1.1", register.apply(council.due(now, null, register.offered())));
     assertEquals(null, register.inForce());
     assertEquals("n1: plans.plan: 60 units are reserved", register.state().outcomes().get(0).why());
@@ -288,8 +297,8 @@
     assertEquals(r, RulesForm.read(RulesForm.write(r)));
     assertEquals(RulesForm.hash(r), RulesForm.hash(r.as(new Version(2, 7))));
     String text = RulesForm.write(r);
-    Map<String, String> bad = Map.of("\"plans\"", "\"plan\"", "\"burst\":20.0", "\"burst\":\"x\"", "\"replayable\"", "\"maybe\"",
-        "\"9b1f03aa\"", "\"nobody\"", "\"send_cap\":4", "\"send_cap\":4.5");
+    Map<String, String> bad = Map.of("\"plans\"", "\"plan\"", "\"burst\":20.0", "\"burst\":\"x\"",
+        "\"replayable\"", "\"maybe\"", "\"9b1f03aa\"", "\"nobody\"", "\"send_cap\":4", "\"send_cap\":4.5");
     List<String> told = new ArrayList<>();
     bad.forEach((from, to) -> {
       try {
@@ -300,11 +309,12 @@
     });
     told.sort(null);
     assertEquals(List.of("barred: nobody is no customer",
-        "frontends.read.effect: maybe is none of [replayable, uniqued, non_replayable]", "limits.send_cap: a whole number",
-        "plan: not known", "plans.plan.burst: no number"), told);
+        "frontends.read.effect: maybe is none of [replayable, uniqued, non_replayable]",
+        "limits.send_cap: a whole number", "plan: not known", "plans.plan.burst: no number"), told);
     Follower.Answer a = new Follower.Answer(new Version(1, 2), r, null);
     assertEquals(a, RulesForm.answer(RulesForm.write(a)));
-    Follower.Report report = new Follower.Report("n1", new Version(1, 1), Version.NONE, new Version(1, 2), "plans.plan: no");
+    Follower.Report report = new Follower.Report("n1", new Version(1, 1), Version.NONE, new Version(1, 2),
+        "plans.plan: no");
     assertEquals(report, RulesForm.report(RulesForm.write(report)));
   }
 }
--- a/src/test/java/saltlatch/wire/WireTest.java
+++ b/src/test/java/saltlatch/wire/WireTest.java
@@ -50,8 +50,8 @@
 
   @Test
   void lostFraming() {
-    String[] lost = {"GET / HTTP/1.1\r\n", "$5\r\nabcdefg\r\n", "*99\r\n", "$65537\r\n", "$x\r\n", "*1\r\n*1\r\n*1\r\n",
-        "+" + "x".repeat(1100)};
+    String[] lost = {"GET / HTTP/1.1\r\n", "$5\r\nabcdefg\r\n", "*99\r\n", "$65537\r\n", "$x\r\n",
+        "*1\r\n*1\r\n*1\r\n", "+" + "x".repeat(1100)};
     for (String text : lost) assertThrows(RespReader.Lost.class, () -> read(text), text);
   }
 
@@ -60,24 +60,30 @@
   void commandsPassedOn() throws RespReader.Lost {
     String terms = "c=order,t=team,d=480,k=5c0f6e1a2b3d4c59,r=1,units=2.5,spread=3,first=1,new=x";
     Request r = Request.of(words("SVC.SUBMIT", "00000000b4d65521", "9b1f03aa5c7e2d41", terms, "BODY"));
-    assertEquals("3033945377 order team 480 2.5 3 1 true", r.customer + " " + r.frontend + " " + r.plan + " " + r.waitMs
-        + " " + r.units + " " + r.width + " " + r.first + " " + r.repeat);
-    assertEquals(command("SVC.SUBMIT", "00000000b4d65521", "9b1f03aa5c7e2d41", terms.replace("d=480", "d=97"), "BODY"),
+    assertEquals("3033945377 order team 480 2.5 3 1 true", r.customer + " " + r.frontend + " " + r.plan + " "
+        + r.waitMs + " " + r.units + " " + r.width + " " + r.first + " " + r.repeat);
+    assertEquals(
+        command("SVC.SUBMIT", "00000000b4d65521", "9b1f03aa5c7e2d41", terms.replace("d=480", "d=97"), "BODY"),
         r.forward(97).toString());
-    assertEquals(command("SVC.QUERY", "00000000b4d65521", "9b1f03aa5c7e2d41", "c=a,t=b,d=1"),
-        Request.of(words("SVC.QUERY", "00000000b4d65521", "9b1f03aa5c7e2d41", "c=a,t=b,d=9")).forward(0).toString());
+    assertEquals(command("SVC.QUERY", "00000000b4d65521", "9b1f03aa5c7e2d41", "c=a,t=b,d=1"), Request
+        .of(words("SVC.QUERY", "00000000b4d65521", "9b1f03aa5c7e2d41", "c=a,t=b,d=9")).forward(0).toString());
   }
 
   @Test
   void malformedCommands() throws RespReader.Lost {
     String id = "9b1f03aa5c7e2d41";
-    String[][] bad = {{"SVC.QUERY", "00000000b4d65521", id}, {"SVC.OTHER", "00000000b4d65521", id, "c=a,t=b,d=1"},
-        {"SVC.QUERY", "b4d65521", id, "c=a,t=b,d=1"}, {"SVC.QUERY", "00000000b4d6552x", id, "c=a,t=b,d=1"},
-        {"SVC.QUERY", "0000000200000000", id, "c=a,t=b,d=1"}, {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b"},
-        {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=x"}, {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=1,units=-1"},
-        {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=1,units=NaN"}, {"SVC.QUERY", "00000000b4d65521", id, "c"},
+    String[][] bad = {{"SVC.QUERY", "00000000b4d65521", id},
+        {"SVC.OTHER", "00000000b4d65521", id, "c=a,t=b,d=1"}, {"SVC.QUERY", "b4d65521", id, "c=a,t=b,d=1"},
+        {"SVC.QUERY", "00000000b4d6552x", id, "c=a,t=b,d=1"},
+        {"SVC.QUERY", "0000000200000000", id, "c=a,t=b,d=1"},
+        {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b"},
+        {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=x"},
+        {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=1,units=-1"},
+        {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=1,units=NaN"},
+        {"SVC.QUERY", "00000000b4d65521", id, "c"},
         {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=1,units=1,units=2"},
-        {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=+1"}, {"SVC.QUERY", "00000000b4d65521", "", "c=a,t=b,d=1"},
+        {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=+1"},
+        {"SVC.QUERY", "00000000b4d65521", "", "c=a,t=b,d=1"},
         {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=1,units=0"},
         {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=1,units=0x1p1"},
         {"SVC.QUERY", "00000000b4d65521", id, "c=a,t=b,d=1,spread=0"}};
@@ -88,12 +94,13 @@
   void answers() throws RespReader.Lost {
     StringBuilder seen = new StringBuilder();
     for (String text : new String[] {"*3\r\n$2\r\nok\r\n$-1\r\n$22\r\ninflight=7,util=0.61,q\r\n",
-        "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n",
-        "-ERR failed inflight=7\r\n", "-ERR failed\r\n", "-BUSY\r\n", "+OK\r\n", "$-1\r\n", "*0\r\n", "-BUSYX\r\n",
+        "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n", "-ERR failed inflight=7\r\n", "-ERR failed\r\n", "-BUSY\r\n",
+        "+OK\r\n", "$-1\r\n", "*0\r\n", "-BUSYX\r\n",
         "*3\r\n$2\r\nok\r\n$9\r\ncost=-1e9\r\n$23\r\ninflight=NaN,util=1e999\r\n"}) {
       Answer a = Answer.of(read(text));
-      seen.append(a.ending().outcome()).append(' ').append(a.value() == null ? "-" : new String(a.value())).append(' ')
-          .append(Answer.field(a.load(), "inflight")).append(' ').append(Answer.field(a.load(), "util")).append('\n');
+      seen.append(a.ending().outcome()).append(' ').append(a.value() == null ? "-" : new String(a.value()))
+          .append(' ').append(Answer.field(a.load(), "inflight")).append(' ')
+          .append(Answer.field(a.load(), "util")).append('\n');
     }
     assertEquals("""
         PASSED ok 7.0 0.61
@@ -113,7 +120,8 @@
   @Test
   void endings() {
     StringBuilder seen = new StringBuilder();
-    for (Ending e : Ending.values()) seen.append(e).append(e.outcome().neverRan() ? " never ran\n" : " may have run\n");
+    for (Ending e : Ending.values())
+      seen.append(e).append(e.outcome().neverRan() ? " never ran\n" : " may have run\n");
     assertEquals("""
         ANSWERED may have run
         ERROR_ANSWER may have run
@@ -134,7 +142,6 @@
   @Test
   void amounts() {
     assertEquals("0 -2.5000 4 0.0001 1000000000 0", Decimal.text(0) + " " + Decimal.text(-2.5) + " "
-        + Decimal.text(4) + " " + Decimal.text(1e-4) + " " + Decimal.text(1e9) + " "
-        + Decimal.text(-1e-9));
+        + Decimal.text(4) + " " + Decimal.text(1e-4) + " " + Decimal.text(1e9) + " " + Decimal.text(-1e-9));
   }
 }
