--- /dev/null
+++ b/src/main/java/saltlatch/distribution/Update.java
@@ -0,0 +1,11 @@
+package saltlatch.distribution;
+
+import java.util.List;
+
+/**
+ * What one line of a watch says.
+ *
+ * @param version the list's version once this is applied
+ * @param whole   true: the entries are the whole list; false: those that changed since the line before
+ */
+public record Update(Version version, boolean whole, List<Entry> entries) {}
