--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -366,22 +366,28 @@
       finish(r, End.DENIED, 0);
       return;
     }
+    if (!room) {
+      finish(r, End.DENIED, pauseWithoutRoom(r));
+      return;
+    }
     Customer c = r.customer;
     boolean open = c.plan.parallel() <= 0 || c.out < Math.max(1, Math.ceil(c.plan.parallel() * c.share));
-    if (!room) {
-      double spread = SPREAD_BACK * Quotas.length(c.plan) * chance.nextDouble();
-      long unsure = Math.max(0, nextCall - now) + (long) (gap * chance.nextDouble());
-      boolean known = r.belated || r.counting || gossip.isHeard(now, c.width);
-      finish(r, End.DENIED, known ? r.window.turn - now + (long) spread : unsure);
-    } else
-      if (!open || !quotas.ceilingAllows(c, r.told.units()) || pressed(r) || (r.next = choose(r)) == null) {
-        finish(r, End.DENIED, rules.longestPause());
-      } else {
-        r.admitted = true;
-        if (r.window != null) quotas.pass(r.window, r.reserved);
-        c.alone += c.alone >= 0 ? r.reserved : 0;
-        c.store -= r.told.units();
-      }
+    if (!open || !quotas.ceilingAllows(c, r.told.units()) || pressed(r) || (r.next = choose(r)) == null) {
+      finish(r, End.DENIED, rules.longestPause());
+      return;
+    }
+    r.admitted = true;
+    if (r.window != null) quotas.pass(r.window, r.reserved);
+    c.alone += c.alone >= 0 ? r.reserved : 0;
+    c.store -= r.told.units();
+  }
+
+  /** When the client of a request that its quota has no room for should come back. */
+  private long pauseWithoutRoom(Req r) {
+    double spread = SPREAD_BACK * Quotas.length(r.customer.plan) * chance.nextDouble();
+    long unsure = Math.max(0, nextCall - now) + (long) (gap * chance.nextDouble());
+    boolean known = r.belated || r.counting || gossip.isHeard(now, r.customer.width);
+    return known ? r.window.turn - now + (long) spread : unsure;
   }
 
   // ---- reservations
--- a/src/main/java/saltlatch/cli/EmulateCommand.java
+++ b/src/main/java/saltlatch/cli/EmulateCommand.java
@@ -14,13 +14,17 @@
  * {@code emulate}: the stand-ins of a scenario on loopback, for nodes started by hand; writes each node's
  * configuration {@code DIR/nI.json} and serves until the scenario's time and {@code --linger} have passed.
  */
-@Command(name = "emulate", mixinStandardHelpOptions = true, description = "Start the scenario's emulated app servers, counter, discovery and peer relay; write node configs.")
+@Command(name = "emulate", mixinStandardHelpOptions = true,
+    description = "Start the scenario's emulated app servers, counter, discovery and peer relay; write node configs.")
 final class EmulateCommand implements Callable<Integer> {
-  @Option(names = "--scenario", required = true, description = "scenario file (TOML, see docs/lab.md)") Path scenario;
+  @Option(names = "--scenario", required = true,
+      description = "scenario file (TOML, see docs/lab.md)") Path scenario;
 
-  @Option(names = "--configs", defaultValue = "lab-nodes", description = "directory for the nodes' configurations") Path configs;
+  @Option(names = "--configs", defaultValue = "lab-nodes",
+      description = "directory for the nodes' configurations") Path configs;
 
-  @Option(names = "--linger", defaultValue = "10", description = "seconds to serve on after the scenario's time") double linger;
+  @Option(names = "--linger", defaultValue = "10",
+      description = "seconds to serve on after the scenario's time") double linger;
 
   @Override
   public Integer call() throws Exception {
--- a/src/main/java/saltlatch/cli/LabCommand.java
+++ b/src/main/java/saltlatch/cli/LabCommand.java
@@ -12,24 +12,32 @@
 import saltlatch.lab.scenario.Scenario;
 
 /** {@code lab}: emulator, K in-process edge nodes and the load; writes the run file and its report. */
-@Command(name = "lab", mixinStandardHelpOptions = true, description = "Run a scenario against K real edge nodes in this process; write RUN.json and RUN.html.")
+@Command(name = "lab", mixinStandardHelpOptions = true,
+    description = "Run a scenario against K real edge nodes in this process; write RUN.json and RUN.html.")
 final class LabCommand implements Callable<Integer> {
   private static final int MOST_SHOWN = 20; // violations on the screen; the run file has all
 
-  @Option(names = "--scenario", required = true, description = "scenario file (TOML, see docs/lab.md)") Path scenario;
+  @Option(names = "--scenario", required = true,
+      description = "scenario file (TOML, see docs/lab.md)") Path scenario;
 
-  @Option(names = "--nodes", defaultValue = "0", description = "edge nodes; 0 takes the scenario's") int nodes;
+  @Option(names = "--nodes", defaultValue = "0",
+      description = "edge nodes; 0 takes the scenario's") int nodes;
 
-  @Option(names = "--out", defaultValue = "run", description = "run file stem: writes STEM.json and STEM.html") String out;
+  @Option(names = "--out", defaultValue = "run",
+      description = "run file stem: writes STEM.json and STEM.html") String out;
 
-  @Option(names = "--baseline", description = "an earlier run file to compare against in the report") Path baseline;
+  @Option(names = "--baseline",
+      description = "an earlier run file to compare against in the report") Path baseline;
 
-  @Option(names = "--processes", description = "start each node as a child process with the run line's JVM flags "
-      + "(not on the bench's platform, which allows no fork); needs target/saltlatch.jar") boolean processes;
+  @Option(names = "--processes",
+      description = "start each node as a child process with the run line's JVM flags "
+          + "(not on the bench's platform, which allows no fork); needs target/saltlatch.jar") boolean processes;
 
-  @Option(names = "--jar", defaultValue = "target/saltlatch.jar", description = "the program that child processes run") Path jar;
+  @Option(names = "--jar", defaultValue = "target/saltlatch.jar",
+      description = "the program that child processes run") Path jar;
 
-  @Option(names = "--seed", defaultValue = "0", description = "another seed than the scenario's; 0 takes that") long seed;
+  @Option(names = "--seed", defaultValue = "0",
+      description = "another seed than the scenario's; 0 takes that") long seed;
 
   @Override
   public Integer call() throws Exception {
--- a/src/main/java/saltlatch/cli/LoadCommand.java
+++ b/src/main/java/saltlatch/cli/LoadCommand.java
@@ -17,11 +17,14 @@
 import saltlatch.wire.RespReader;
 
 /** {@code load}: the scenario's open-loop schedule against edge nodes already listening on loopback ports. */
-@Command(name = "load", mixinStandardHelpOptions = true, description = "Offer the scenario's load, open loop, to edge nodes on loopback; print outcomes and latency.")
+@Command(name = "load", mixinStandardHelpOptions = true,
+    description = "Offer the scenario's load, open loop, to edge nodes on loopback; print outcomes and latency.")
 final class LoadCommand implements Callable<Integer> {
-  @Option(names = "--scenario", required = true, description = "scenario file (TOML, see docs/lab.md)") Path scenario;
+  @Option(names = "--scenario", required = true,
+      description = "scenario file (TOML, see docs/lab.md)") Path scenario;
 
-  @Option(names = "--ports", split = ",", description = "the nodes' client ports on 127.0.0.1") List<Integer> ports;
+  @Option(names = "--ports", split = ",",
+      description = "the nodes' client ports on 127.0.0.1") List<Integer> ports;
 
   @Option(names = "--echo", description = "measure the load tool itself: send to an in-process server that "
       + "answers every command at once with a value, instead of to nodes") boolean echo;
--- a/src/main/java/saltlatch/cli/ReportCommand.java
+++ b/src/main/java/saltlatch/cli/ReportCommand.java
@@ -10,7 +10,8 @@
 import saltlatch.lab.report.Report;
 
 /** {@code report RUN.json [BASELINE.json]}: the run's HTML page with plots, and the ratio against a baseline. */
-@Command(name = "report", mixinStandardHelpOptions = true, description = "Write a self-contained HTML report of a run file, compared with a baseline if given.")
+@Command(name = "report", mixinStandardHelpOptions = true,
+    description = "Write a self-contained HTML report of a run file, compared with a baseline if given.")
 final class ReportCommand implements Callable<Integer> {
   @Parameters(index = "0", description = "run file") Path run;
 
--- a/src/main/java/saltlatch/lab/check/MemberTimes.java
+++ b/src/main/java/saltlatch/lab/check/MemberTimes.java
@@ -102,8 +102,9 @@
       String state = l.get("state");
       if (state.equals("failed") && killedAt.containsKey(member)) {
         if (undisturbed(l, killedAt.get(member))) failed.add(since(l, killedAt.get(member)));
-      } else
-        if (state.equals("failed") && !stopped.contains(member) && !cutLately(l.monoNs())) falselyFailed++;
+      } else if (state.equals("failed") && !stopped.contains(member) && !cutLately(l.monoNs())) {
+        falselyFailed++;
+      }
       if (state.equals("alive") && before.equals("failed") && continuedAt.containsKey(member)
           && undisturbed(l, continuedAt.get(member))) {
         back.add(since(l, continuedAt.get(member)));
--- a/src/main/java/saltlatch/member/Message.java
+++ b/src/main/java/saltlatch/member/Message.java
@@ -9,6 +9,7 @@
  */
 public record Message(Kind kind, int seq, int target, long incarnation, long digest, boolean vouches,
     List<News> news) {
+  /** What a message asks or answers: a probe, its answer, a probe by proxy, a proxy's failure. */
   public enum Kind {
     PING,
     ACK,
--- a/src/main/java/saltlatch/rules/Register.java
+++ b/src/main/java/saltlatch/rules/Register.java
@@ -17,8 +17,10 @@
     /** Offers rules in place of version {@code base}, the newest that its author knew. */
     record Put(Version base, RuleSet rules) implements Op {}
 
+    /** Puts the offered version in force. */
     record Activate(Version version) implements Op {}
 
+    /** Takes the offered version back, since {@code node} can't act on it. */
     record Reject(Version version, String node, String reason) implements Op {}
   }
 
