--- a/src/main/java/saltlatch/node/Pilot.java
+++ b/src/main/java/saltlatch/node/Pilot.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import saltlatch.api.Actions;
@@ -45,6 +46,8 @@
       Peers.Host {
   private static final Logger LOG = LoggerFactory.getLogger(Pilot.class);
 
+  private static final long NO_LIST = Long.MIN_VALUE;
+
   private final Vertx vertx;
   private final Context loop;
   private final Station station;
@@ -56,8 +59,6 @@
   private final Names plans;
   private final Names zones;
   private final Names types;
-  private final Names srvs = new Names();
-  private final List<Integer> leaving = new ArrayList<>(); // app srvs off the list, with something still out
   private List<Event> batch = new ArrayList<>();
   private boolean scheduled;
   private long armedFor = Long.MAX_VALUE;
@@ -68,6 +69,10 @@
   private final History history; // null: none is kept, and none of its classes are loaded
   private Gateway gateway;
   private AppServers appServers;
+  private TargetDirectory directory;
+  private LongConsumer onListed = index -> {};
+  private long listInBatch = NO_LIST; // index of the newest list that the batch completes
+  private boolean ended;
   private CounterClient counter;
   private Discovery discovery;
   private Peers peers;
@@ -91,6 +96,7 @@
     ranAt = clock.now();
     appServers = new AppServers(vertx, this, this, counters, station.connectTime(), station.idleTime(),
         station.appSrvLinks());
+    directory = new TargetDirectory(appServers, zones, types);
     if (station.counter() != null) {
       counter = new CounterClient(vertx, station.counter(), this, this, counters, station.countLimit());
     }
@@ -99,7 +105,8 @@
       peers = new Peers(vertx, station.peerListen(), station.peers(), station.peersAll(), this, counters);
     }
     gateway = maker.start(clock.now(), station.site(), this);
-    add(listed(station.known(), Event.ListKind.CACHED));
+    listInBatch = station.known().index();
+    add(directory.take(station.known(), Event.ListKind.CACHED));
     if (station.membership()) roster = new Roster(this, peers, history, station, this::add);
   }
 
@@ -109,6 +116,23 @@
     if (roster != null) roster.leave();
   }
 
+  /** Called with its index once a list or change has been handed to the module. */
+  void onListed(LongConsumer then) {
+    onListed = then;
+  }
+
+  /** App servers now listed. */
+  int listed() {
+    return directory.listed();
+  }
+
+  /** Ends the watch and the timers, where the loop lives on (the laboratory's nodes share theirs). */
+  void end() {
+    leave();
+    ended = true;
+    if (armedFor != Long.MAX_VALUE) vertx.cancelTimer(armed);
+  }
+
   /** Once the node serves; where changes must be asked for, the module does. */
   void follow() {
     if (!station.site().rules().mustFollow()) discovery.follow();
@@ -145,6 +169,7 @@
 
   /** Sets the one timer of the loop for what falls due first; dropped ones must not wake the loop. */
   private void arm() {
+    if (ended) return;
     long next = timers.earliest();
     if (next == armedFor) return;
     if (armedFor != Long.MAX_VALUE) vertx.cancelTimer(armed);
@@ -199,6 +224,7 @@
     batch = new ArrayList<>();
     try {
       gateway.handle(clock.now(), events);
+      tellListed();
     } catch (RuntimeException e) {
       LOG.error("the module failed", e);
       counters.add(Count.EXCEPTIONS);
@@ -207,6 +233,13 @@
     arm();
   }
 
+  private void tellListed() {
+    if (listInBatch == NO_LIST) return;
+    long index = listInBatch;
+    listInBatch = NO_LIST;
+    onListed.accept(index);
+  }
+
   /** A req that the module failed on gets its final answer here, and the module is told that it is gone. */
   private void drop(Event e) {
     long rid = e instanceof Event.Arrived a ? a.rid()
@@ -262,7 +295,7 @@
   @Override
   public void ended(Exchange x, int dispatch, int srv, Answer answer, long spent) {
     if (history != null) {
-      history.add("ended", "id", x.req.id, "srv", srvs.name(srv), "dispatch", dispatch, "how",
+      history.add("ended", "id", x.req.id, "srv", directory.name(srv), "dispatch", dispatch, "how",
           answer.ending().name());
     }
     if (answer.ending() == Ending.ANSWERED) {
@@ -272,7 +305,7 @@
     add(new Event.Ended(x.rid, srv, dispatch, answer.ending().outcome(), x.over(), spent, answer.actual(),
         answer.fleetUse(), load(answer)));
     exchanges.ended(x);
-    release();
+    directory.release();
   }
 
   /** Its one end, for the history. */
@@ -289,7 +322,7 @@
   @Override
   public void probed(int srv, Answer answer, long spent) {
     add(new Event.Probed(srv, answer.ending().outcome(), spent, load(answer)));
-    release();
+    directory.release();
   }
 
   private List<Double> load(Answer answer) {
@@ -306,7 +339,8 @@
 
   @Override
   public void listed(TargetList list) {
-    add(listed(list, list.whole() ? Event.ListKind.WHOLE : Event.ListKind.CHANGES));
+    listInBatch = list.index();
+    add(directory.take(list, list.whole() ? Event.ListKind.WHOLE : Event.ListKind.CHANGES));
   }
 
   /** Where changes come unasked the watch is this host's to renew, elsewhere the module's. */
@@ -316,34 +350,6 @@
     else discovery.follow();
   }
 
-  private Event listed(TargetList list, Event.ListKind kind) {
-    List<Event.Entry> entries = new ArrayList<>();
-    List<Integer> named = new ArrayList<>();
-    for (TargetList.Target t : list.targets()) {
-      int srv = srvs.number(t.name());
-      named.add(srv);
-      leaving.remove((Integer) srv);
-      if (t.address() != null) appServers.locate(srv, t.address());
-      if (t.condition() == Event.Condition.GONE) leaving.add(srv);
-      entries.add(new Event.Entry(srv, t.sinceMs() * 10, Math.max(0, zones.find(t.zone())), t.group(),
-          t.condition(), t.weight(), Math.max(0, types.find(t.type()))));
-    }
-    if (list.whole()) srvs.each(srv -> {
-      if (!named.contains(srv) && !leaving.contains(srv)) leaving.add(srv);
-    });
-    return new Event.Listed(kind, entries);
-  }
-
-  /** Gives the numbers free of app srvs that are gone and have nothing out any more. */
-  private void release() {
-    if (leaving.isEmpty()) return;
-    leaving.removeIf(srv -> {
-      boolean free = appServers.forget(srv);
-      if (free) srvs.release(srv);
-      return free;
-    });
-  }
-
   @Override
   public void heard(int from, byte[] words) {
     if (words.length > 0 && words[0] == MemberForm.FIRST) {
@@ -368,8 +374,8 @@
     if (x == null) return;
     int dispatch = exchanges.begin(x);
     if (history != null) {
-      history.add("dispatched", "id", x.req.id, "srv", srvs.name((int) srv), "dispatch", dispatch, "cap_ms",
-          cap / 10);
+      history.add("dispatched", "id", x.req.id, "srv", directory.name((int) srv), "dispatch", dispatch,
+          "cap_ms", cap / 10);
     }
     try {
       appServers.dispatch(x, dispatch, (int) srv, cap);
--- a/src/main/java/saltlatch/node/Station.java
+++ b/src/main/java/saltlatch/node/Station.java
@@ -15,7 +15,7 @@
 import saltlatch.wire.TargetList;
 
 /** Where this node stands and what it may use, decoded once from its configuration. Times are tenths of a ms. */
-record Station(String name, SocketAddress listen, SocketAddress discovery, SocketAddress counter,
+public record Station(String name, SocketAddress listen, SocketAddress discovery, SocketAddress counter,
     SocketAddress peerListen, List<SocketAddress> peers, SocketAddress peersAll, Path history,
     boolean membership, int memoryMb, int descriptors, long connectTime, long idleTime, long countLimit,
     boolean mayTell, double mostUnits, List<String> loadFields, List<String> frontends, List<String> plans,
@@ -41,7 +41,12 @@
         && req.query == (effect == Site.Effect.REPLAYABLE) && (req.keyed || effect != Site.Effect.UNIQUED);
   }
 
-  static Station of(String text) {
+  /**
+   * Decodes a configuration's JSON text.
+   *
+   * @throws RuntimeException naming the key that is missing or wrong
+   */
+  public static Station of(String text) {
     JsonObject all = JsonParser.parseString(text).getAsJsonObject();
     for (String key : List.of("name", "seed", "listen", "discovery", "settings", "limits", "known")) {
       if (!all.has(key)) throw new IllegalArgumentException(key + " is missing");
--- /dev/null
+++ b/src/main/java/saltlatch/node/TargetDirectory.java
@@ -0,0 +1,73 @@
+package saltlatch.node;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import saltlatch.api.Event;
+import saltlatch.state.Names;
+import saltlatch.wire.AppServers;
+import saltlatch.wire.TargetList;
+
+/**
+ * The app servers that discovery has named: their names mapped to the small numbers the module knows them by, and those
+ * off the list whose number is still held by a connection in use. Owned by one event loop.
+ */
+final class TargetDirectory {
+  private final AppServers appServers;
+  private final Names zones;
+  private final Names types;
+  private final Names names = new Names();
+  private final Set<Integer> leaving = new LinkedHashSet<>(); // off the list, with something still out
+
+  TargetDirectory(AppServers appServers, Names zones, Names types) {
+    this.appServers = appServers;
+    this.zones = zones;
+    this.types = types;
+  }
+
+  /** The name that has this number, or null. */
+  String name(int srv) {
+    return names.name(srv);
+  }
+
+  /** App servers now listed. */
+  int listed() {
+    return names.size() - leaving.size();
+  }
+
+  /** Takes a list or change in, and gives the module's event of it. */
+  Event.Listed take(TargetList list, Event.ListKind kind) {
+    List<Event.Entry> entries = new ArrayList<>();
+    Set<Integer> named = new LinkedHashSet<>();
+    for (TargetList.Target target : list.targets()) {
+      Event.Entry entry = take(target);
+      entries.add(entry);
+      named.add((int) entry.srv());
+    }
+    if (list.whole()) names.each(srv -> {
+      if (!named.contains(srv)) leaving.add(srv);
+    });
+    return new Event.Listed(kind, entries);
+  }
+
+  private Event.Entry take(TargetList.Target target) {
+    int srv = names.number(target.name());
+    if (target.address() != null) appServers.locate(srv, target.address());
+    if (target.condition() == Event.Condition.GONE) leaving.add(srv);
+    else leaving.remove(srv);
+    return new Event.Entry(srv, target.sinceMs() * 10, Math.max(0, zones.find(target.zone())), target.group(),
+        target.condition(), target.weight(), Math.max(0, types.find(target.type())));
+  }
+
+  /** Gives the numbers free of app servers that are gone and have nothing out any more. */
+  void release() {
+    for (Iterator<Integer> each = leaving.iterator(); each.hasNext();) {
+      int srv = each.next();
+      if (!appServers.forget(srv)) continue;
+      names.release(srv);
+      each.remove();
+    }
+  }
+}
--- a/src/main/java/saltlatch/state/Names.java
+++ b/src/main/java/saltlatch/state/Names.java
@@ -38,6 +38,11 @@
     return lowestFree;
   }
 
+  /** How many names are known. */
+  public int size() {
+    return numbers.size();
+  }
+
   /** Walks the numbers in use. */
   public void each(IntConsumer use) {
     for (int i = 0; i < names.size(); i++) {
