--- a/src/main/java/saltlatch/wire/AppServers.java
+++ b/src/main/java/saltlatch/wire/AppServers.java
@@ -5,9 +5,9 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.SocketAddress;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
 import saltlatch.state.Counters;
 import saltlatch.state.Counters.Count;
 import saltlatch.state.Exchange;
@@ -31,8 +31,17 @@
   /** An app srv that the list names. */
   private static final class Srv {
     private SocketAddress address;
+    private Links links; // null: none open, as with most of a large list
+  }
+
+  /** The connections to one app srv. */
+  private static final class Links {
     private final Pool<AppLink> pool = new Pool<>();
     private final List<AppLink> busy = new ArrayList<>();
+
+    boolean isEmpty() {
+      return busy.isEmpty() && pool.oldest() == Long.MAX_VALUE;
+    }
   }
 
   private static final long SETTLING = 30; // 3 ms: what was sent behind an answer, unasked, has come by then
@@ -42,7 +51,8 @@
   private final Desk desk;
   private final Host host;
   private final Counters counters;
-  private final Map<Integer, Srv> srvs = new HashMap<>();
+  private final List<Srv> srvs = new ArrayList<>(); // by number; null: none has it
+  private final Set<Srv> linked = new LinkedHashSet<>(); // those with connections, the only ones walked
   private final long connectTime;
   private final long idleTime;
   private final int mostLinks;
@@ -63,21 +73,27 @@
 
   /** The address at which a listed app srv is reached from here. */
   public void locate(int srv, SocketAddress address) {
-    Srv s = srvs.computeIfAbsent(srv, k -> new Srv());
+    while (srvs.size() <= srv) srvs.add(null);
+    if (srvs.get(srv) == null) srvs.set(srv, new Srv());
+    Srv s = srvs.get(srv);
     if (s.address != null && !s.address.equals(address)) closeIdle(srv);
     s.address = address;
   }
 
   /** True if nothing is held there, so that its number can be given to another. */
   public boolean forget(int srv) {
-    Srv s = srvs.get(srv);
+    Srv s = find(srv);
     if (s == null) return true;
     closeIdle(srv);
-    if (!s.busy.isEmpty()) return false;
-    srvs.remove(srv);
+    if (s.links != null) return false;
+    srvs.set(srv, null);
     return true;
   }
 
+  private Srv find(int srv) {
+    return srv >= 0 && srv < srvs.size() ? srvs.get(srv) : null;
+  }
+
   public void dispatch(Exchange x, int dispatch, int srv, long cap) {
     counters.add(Count.DISPATCHED);
     AppLink link = link(srv);
@@ -96,8 +112,8 @@
   }
 
   public void cancel(Exchange x, int dispatch) {
-    for (Srv s : srvs.values()) {
-      for (AppLink link : s.busy) {
+    for (Srv s : linked) {
+      for (AppLink link : s.links.busy) {
         if (link.carries(x, dispatch)) {
           link.end(Answer.none(Ending.OWN_CANCEL));
           return;
@@ -107,15 +123,27 @@
   }
 
   public void closeIdle(int srv) {
-    Srv s = srvs.get(srv);
-    if (s != null) s.pool.takeOlder(Long.MAX_VALUE).forEach(AppLink::close);
+    Srv s = find(srv);
+    if (s != null && s.links != null) closeOlder(s, Long.MAX_VALUE);
+  }
+
+  private void closeOlder(Srv s, long than) {
+    s.links.pool.takeOlder(than).forEach(AppLink::close);
+    settle(s);
+  }
+
+  /** Keeps nothing for an app srv whose last connection is gone. */
+  private void settle(Srv s) {
+    if (s.links == null || !s.links.isEmpty()) return;
+    s.links = null;
+    linked.remove(s);
   }
 
   private AppLink link(int srv) {
-    Srv s = srvs.get(srv);
+    Srv s = find(srv);
     if (s == null) return null;
     // Guards against a second copy or noise right behind an answer that is taken for that of the next dispatch.
-    AppLink link = s.pool.take(desk.now() - SETTLING);
+    AppLink link = s.links == null ? null : s.links.pool.take(desk.now() - SETTLING);
     if (link == null) {
       if (links >= mostLinks && !closeOldest()) return null;
       links++;
@@ -123,22 +151,26 @@
       link = new AppLink(this, srv);
       link.open(client, s.address);
     }
-    s.busy.add(link);
+    if (s.links == null) s.links = new Links();
+    linked.add(s);
+    s.links.busy.add(link);
     return link;
   }
 
   private boolean closeOldest() {
     Srv oldest = null;
-    for (Srv s : srvs.values()) {
-      if (oldest == null || s.pool.oldest() < oldest.pool.oldest()) oldest = s;
+    for (Srv s : linked) {
+      if (oldest == null || s.links.pool.oldest() < oldest.links.pool.oldest()) oldest = s;
     }
-    if (oldest == null || oldest.pool.oldest() == Long.MAX_VALUE) return false;
-    oldest.pool.takeOlder(oldest.pool.oldest() + 1).forEach(AppLink::close);
+    if (oldest == null || oldest.links.pool.oldest() == Long.MAX_VALUE) return false;
+    closeOlder(oldest, oldest.links.pool.oldest() + 1);
     return true;
   }
 
   private void sweep() {
-    for (Srv s : srvs.values()) s.pool.takeOlder(desk.now() - idleTime).forEach(AppLink::close);
+    for (Srv s : List.copyOf(linked)) {
+      if (s.links != null) closeOlder(s, desk.now() - idleTime);
+    }
     desk.at(desk.now() + SWEEP, this::sweep);
   }
 
@@ -161,9 +193,10 @@
 
   /** A dispatch or probe has ended on this connection, which may be used again or is gone. */
   void ended(AppLink link, boolean open, Exchange x, int dispatch, Answer answer, long spent) {
-    Srv s = srvs.get(link.srv);
-    s.busy.remove(link);
-    if (open) s.pool.put(link, desk.now());
+    Srv s = find(link.srv);
+    s.links.busy.remove(link);
+    if (open) s.links.pool.put(link, desk.now());
+    settle(s);
     counters
         .add(answer.ending() == Ending.ANSWERED ? Count.DISPATCHES_PASSED : Count.DISPATCHES_ENDED_OTHERWISE);
     if (x == null) host.probed(link.srv, answer, spent);
@@ -172,7 +205,9 @@
 
   void gone(AppLink link) {
     links--;
-    Srv s = srvs.get(link.srv);
-    if (s != null) s.pool.remove(link);
+    Srv s = find(link.srv);
+    if (s == null || s.links == null) return;
+    s.links.pool.remove(link);
+    settle(s);
   }
 }
