--- a/src/main/java/saltlatch/node/Pilot.java
+++ b/src/main/java/saltlatch/node/Pilot.java
@@ -70,6 +70,7 @@
   private Gateway gateway;
   private AppServers appServers;
   private TargetDirectory directory;
+  private ListApplier lists;
   private LongConsumer onListed = index -> {};
   private long listInBatch = NO_LIST; // index of the newest list that the batch completes
   private boolean ended;
@@ -97,10 +98,11 @@
     appServers = new AppServers(vertx, this, this, counters, station.connectTime(), station.idleTime(),
         station.appSrvLinks());
     directory = new TargetDirectory(appServers, zones, types);
+    lists = new ListApplier(directory, this, this::add);
     if (station.counter() != null) {
       counter = new CounterClient(vertx, station.counter(), this, this, counters, station.countLimit());
     }
-    discovery = new Discovery(vertx, station.discovery(), this, this, counters, station.known().index());
+    discovery = new Discovery(vertx, station.discovery(), this, this, counters, station.known());
     if (station.mayTell() && station.peerListen() != null) {
       peers = new Peers(vertx, station.peerListen(), station.peers(), station.peersAll(), this, counters);
     }
@@ -224,12 +226,13 @@
     batch = new ArrayList<>();
     try {
       gateway.handle(clock.now(), events);
-      tellListed();
     } catch (RuntimeException e) {
       LOG.error("the module failed", e);
       counters.add(Count.EXCEPTIONS);
       for (Event event : events) drop(event);
+      listInBatch = NO_LIST;
     }
+    tellListed();
     arm();
   }
 
@@ -338,9 +341,12 @@
   }
 
   @Override
-  public void listed(TargetList list) {
-    listInBatch = list.index();
-    add(directory.take(list, list.whole() ? Event.ListKind.WHOLE : Event.ListKind.CHANGES));
+  public void listed(TargetList list, Runnable applied) {
+    lists.apply(list, () -> {
+      applied.run();
+      listInBatch = list.index();
+      if (!scheduled) tellListed(); // its last slice told the module nothing new
+    });
   }
 
   /** Where changes come unasked the watch is this host's to renew, elsewhere the module's. */
--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -20,6 +20,7 @@
 import saltlatch.history.History;
 import saltlatch.state.Counters;
 import saltlatch.state.Counters.Count;
+import saltlatch.state.HeapFull;
 import saltlatch.wire.Door;
 
 /** Start and stop of one edge node. */
@@ -65,8 +66,8 @@
     Serve serve;
     try {
       serve = new Serve(Station.of(Files.readString(Path.of(path))));
-    } catch (IOException | RuntimeException e) {
-      err.println("saltlatch serve: configuration " + path + ": " + e);
+    } catch (IOException | RuntimeException | OutOfMemoryError e) {
+      err.println("saltlatch serve: configuration " + path + ": " + HeapFull.explain(e));
       return 2;
     }
     serve.rereadOn(hangups, Path.of(path));
@@ -75,8 +76,8 @@
     try {
       serve.start(maker).toCompletionStage().toCompletableFuture().get();
     } catch (ExecutionException | InterruptedException e) {
-      err.println("saltlatch serve: " + serve.station.listen() + ": " + e.getCause());
-      return 3;
+      err.println("saltlatch serve: " + serve.station.listen() + ": " + HeapFull.explain(e.getCause()));
+      return HeapFull.isCauseOf(e) ? 2 : 3;
     }
     return 0;
   }
@@ -140,7 +141,7 @@
         if (stopping) throw new IllegalStateException("told to end before it was ready");
         pilot.start(maker);
         begun.complete();
-      } catch (RuntimeException e) {
+      } catch (RuntimeException | OutOfMemoryError e) {
         open.fail(e);
         return;
       }
--- /dev/null
+++ b/src/main/java/saltlatch/node/SlicedUpdate.java
@@ -0,0 +1,84 @@
+package saltlatch.node;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import saltlatch.api.Event;
+import saltlatch.wire.Discovery;
+import saltlatch.wire.TargetList;
+
+/**
+ * A large list or change in steps that look at {@link Discovery#SLICE} entries at most: first what a whole list no longer
+ * names is removed, then drains and removals are told, then the rest. The module is told all of it as changes.
+ */
+final class SlicedUpdate {
+  /** What a step works on, in this order. */
+  private enum Phase {
+    INDEX,
+    REMOVE_UNNAMED,
+    NOT_READY,
+    READY,
+    DONE
+  }
+
+  private final TargetList list;
+  private final TargetDirectory directory;
+  private final Map<String, TargetList.Target> latest = new LinkedHashMap<>(); // of each name, the last entry
+  private Phase phase = Phase.INDEX;
+  private int at; // of the phase's numbers or entries
+  private Iterator<TargetList.Target> targets;
+
+  SlicedUpdate(TargetList list, TargetDirectory directory) {
+    this.list = list;
+    this.directory = directory;
+  }
+
+  boolean isDone() {
+    return phase == Phase.DONE;
+  }
+
+  /** Goes on by one slice; null where it has nothing to tell the module. */
+  Event.Listed step() {
+    List<Event.Entry> entries = new ArrayList<>();
+    switch (phase) {
+      case INDEX -> index();
+      case REMOVE_UNNAMED -> removeUnnamed(entries);
+      case NOT_READY -> take(false, entries);
+      case READY -> take(true, entries);
+      default -> throw new IllegalStateException("done");
+    }
+    return entries.isEmpty() ? null : new Event.Listed(Event.ListKind.CHANGES, entries);
+  }
+
+  private void index() {
+    List<TargetList.Target> all = list.targets();
+    int end = Math.min(all.size(), at + Discovery.SLICE);
+    for (; at < end; at++) latest.put(all.get(at).name(), all.get(at));
+    if (at < all.size()) return;
+    at = 0;
+    targets = latest.values().iterator();
+    phase = list.whole() ? Phase.REMOVE_UNNAMED : Phase.NOT_READY;
+  }
+
+  private void removeUnnamed(List<Event.Entry> entries) {
+    int end = Math.min(directory.numbers(), at + Discovery.SLICE);
+    for (; at < end; at++) {
+      String name = directory.name(at);
+      if (name != null && !latest.containsKey(name) && directory.isListed(at))
+        entries.add(directory.remove(at));
+    }
+    if (at >= directory.numbers()) phase = Phase.NOT_READY;
+  }
+
+  private void take(boolean ready, List<Event.Entry> entries) {
+    for (int looked = 0; looked < Discovery.SLICE && targets.hasNext(); looked++) {
+      TargetList.Target target = targets.next();
+      if (ready == (target.condition() == Event.Condition.READY)) entries.add(directory.take(target));
+    }
+    if (targets.hasNext()) return;
+    targets = latest.values().iterator();
+    phase = ready ? Phase.DONE : Phase.READY;
+  }
+}
--- a/src/main/java/saltlatch/node/TargetDirectory.java
+++ b/src/main/java/saltlatch/node/TargetDirectory.java
@@ -8,6 +8,7 @@
 import saltlatch.api.Event;
 import saltlatch.state.Names;
 import saltlatch.wire.AppServers;
+import saltlatch.wire.Discovery;
 import saltlatch.wire.TargetList;
 
 /**
@@ -19,6 +20,7 @@
   private final Names zones;
   private final Names types;
   private final Names names = new Names();
+  private final List<Event.Entry> entries = new ArrayList<>(); // as told last, by number
   private final Set<Integer> leaving = new LinkedHashSet<>(); // off the list, with something still out
 
   TargetDirectory(AppServers appServers, Names zones, Names types) {
@@ -32,6 +34,20 @@
     return names.name(srv);
   }
 
+  /** One above the highest number given so far. */
+  int numbers() {
+    return entries.size();
+  }
+
+  /** Names that have a number, those off the list too. */
+  int size() {
+    return names.size();
+  }
+
+  boolean isListed(int srv) {
+    return names.name(srv) != null && !leaving.contains(srv);
+  }
+
   /** App servers now listed. */
   int listed() {
     return names.size() - leaving.size();
@@ -52,22 +68,37 @@
     return new Event.Listed(kind, entries);
   }
 
-  private Event.Entry take(TargetList.Target target) {
+  /** Takes one target in, and gives the module's entry of it. */
+  Event.Entry take(TargetList.Target target) {
     int srv = names.number(target.name());
     if (target.address() != null) appServers.locate(srv, target.address());
     if (target.condition() == Event.Condition.GONE) leaving.add(srv);
     else leaving.remove(srv);
-    return new Event.Entry(srv, target.sinceMs() * 10, Math.max(0, zones.find(target.zone())), target.group(),
-        target.condition(), target.weight(), Math.max(0, types.find(target.type())));
+    Event.Entry entry = new Event.Entry(srv, target.sinceMs() * 10, Math.max(0, zones.find(target.zone())),
+        target.group(), target.condition(), target.weight(), Math.max(0, types.find(target.type())));
+    while (entries.size() <= srv) entries.add(null);
+    entries.set(srv, entry);
+    return entry;
+  }
+
+  /** Takes one off the list that a whole list no longer names: as told last, but gone. */
+  Event.Entry remove(int srv) {
+    leaving.add(srv);
+    Event.Entry was = entries.get(srv);
+    return new Event.Entry(srv, was.since(), was.zone(), was.cell(), Event.Condition.GONE, was.rating(),
+        was.type());
   }
 
-  /** Gives the numbers free of app servers that are gone and have nothing out any more. */
+  /** Gives the numbers free of app servers that are gone and have nothing out any more, a slice at once. */
   void release() {
-    for (Iterator<Integer> each = leaving.iterator(); each.hasNext();) {
+    Iterator<Integer> each = leaving.iterator();
+    for (int freed = 0; freed < Discovery.SLICE && each.hasNext();) {
       int srv = each.next();
       if (!appServers.forget(srv)) continue;
       names.release(srv);
+      entries.set(srv, null);
       each.remove();
+      freed++;
     }
   }
 }
--- a/src/main/java/saltlatch/state/Counters.java
+++ b/src/main/java/saltlatch/state/Counters.java
@@ -36,6 +36,7 @@
     LISTS,
     LISTS_MALFORMED,
     LISTS_OLD,
+    LISTS_REFUSED,
     PEERS_TOLD,
     PEERS_HEARD,
     PEERS_FAILED,
--- a/src/main/java/saltlatch/wire/Discovery.java
+++ b/src/main/java/saltlatch/wire/Discovery.java
@@ -1,6 +1,7 @@
 package saltlatch.wire;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
@@ -11,27 +12,39 @@
 import org.slf4j.LoggerFactory;
 import saltlatch.state.Counters;
 import saltlatch.state.Counters.Count;
+import saltlatch.state.HeapFull;
 import saltlatch.state.Timers;
 
 /**
  * Follows the list of app srvs. What discovery has and can tell is known here within {@link #SILENT} and one round trip:
  * a watch that says nothing for so long is given up, one that does not begin within {@link #BEGINS} sooner, and the next
  * opens at once, or {@link #APART} behind the last one's opening. That stays under the 6 s after which a change counts as
- * told.
+ * told. A list that is too large is the exception: the same would come again, so it is asked for ever more seldom.
  */
 public final class Discovery {
   /** Whom the list is told to. */
   public interface Host {
-    void listed(TargetList list);
+    /** Runs {@code applied} once all of the list is in force, in the same turn or a later one. */
+    void listed(TargetList list, Runnable applied);
 
     /** Followed again at once by {@link Discovery#follow()} where changes come unasked. */
     void watchEnded();
   }
 
   private static final Logger LOG = LoggerFactory.getLogger(Discovery.class);
+
+  // Pacing; times are tenths of a ms.
   private static final long SILENT = 45_000; // 4.5 s: two of the empty lines that come every 2 s
   private static final long BEGINS = 20_000; // 2 s: the agent is on this machine and answers at once, or it is down
   private static final long APART = 10_000; // 1 s between openings: an agent that resets each must not be stormed
+  private static final long REFUSED_FIRST = 10_000; // 1 s after a list too large: it may be cut down at once
+  private static final long REFUSED_MOST = 3_000_000; // 5 min: 4 MB read for nothing each time are 14 KB/s by then
+  private static final int READ_AT_ONCE = 32 << 10; // bytes decoded in a row: some 260 entries, about 1 ms
+  private static final long READ_PAUSE = 10; // 1 ms for the loop's other work, between such rows
+  /** Entries that go to the module in one event, and at most are looked at in one turn: well under 5 ms, all told. */
+  public static final int SLICE = 512;
+  /** Between the slices of a large list: 1 ms for the loop's other work. */
+  public static final long SLICE_PAUSE = 10;
 
   private final Vertx vertx;
   private HttpClient client; // made when first used, which is after the node serves
@@ -39,25 +52,36 @@
   private final Desk desk;
   private final Host host;
   private final Counters counters;
-  private long index;
+  private long series; // of the newest list taken
+  private long newest; // its index; it may be on its way to being applied
+  private long index; // of the newest list applied in full: the watch goes on from there
+  private int beingApplied; // lists
+  private Runnable whenApplied; // null: nothing waits for that
+  private boolean wantsWhole; // a change of an unknown series came: what it builds on is asked for
+  private long refusedPause; // after the last list, which was too large; 0: it was not
+  private long notBefore = Long.MIN_VALUE / 2; // the next opening, for that pause
+  private int readInRow; // bytes
   private HttpClientRequest watch;
   private Timers.Timer limit; // of what must come next: the opening, the first line, another line; null: no watch is on
   private long openedAt = Long.MIN_VALUE / 2;
   private int turn; // of the watches, so that what comes late from an ended one is passed over
 
-  public Discovery(Vertx vertx, SocketAddress address, Desk desk, Host host, Counters counters, long index) {
+  public Discovery(Vertx vertx, SocketAddress address, Desk desk, Host host, Counters counters,
+      TargetList known) {
     this.address = address;
     this.desk = desk;
     this.host = host;
     this.counters = counters;
-    this.index = index;
+    series = known.series();
+    newest = known.index();
+    index = known.index();
     this.vertx = vertx;
   }
 
   public void follow() {
     stop();
     int mine = ++turn;
-    limit = desk.at(Math.max(desk.now(), openedAt + APART), () -> open(mine));
+    limit = desk.at(Math.max(desk.now(), Math.max(openedAt + APART, notBefore)), () -> open(mine));
   }
 
   /** The list is asked for at another address from now on; a watch that is on goes on there, at once. */
@@ -65,6 +89,8 @@
     if (address.equals(to)) return;
     address = to;
     openedAt -= APART;
+    notBefore = openedAt;
+    refusedPause = 0;
     if (limit != null) follow();
   }
 
@@ -72,11 +98,17 @@
     turn++;
     if (limit != null) limit.drop();
     limit = null;
+    whenApplied = null;
     if (watch != null) watch.reset();
     watch = null;
   }
 
   private void open(int mine) {
+    // Guards against a list that is asked for again while it is being applied.
+    if (beingApplied > 0) {
+      whenApplied = () -> open(mine);
+      return;
+    }
     if (client == null) {
       client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout((int) BEGINS / 10)
           .setDecompressionSupported(false).setIdleTimeout(0));
@@ -84,20 +116,24 @@
     openedAt = desk.now();
     counters.add(Count.WATCHES);
     expect(mine, BEGINS);
-    client.request(HttpMethod.GET, address.port(), address.host(), "/api/targets?follow=1&since=" + index)
-        .onComplete(made -> {
-          if (mine != turn) {
-            if (made.succeeded()) made.result().reset();
-            return;
-          }
-          if (made.failed()) {
-            broke(mine, made.cause());
-            return;
-          }
-          watch = made.result();
-          watch.exceptionHandler(e -> broke(mine, e));
-          watch.send().onFailure(e -> broke(mine, e)).onSuccess(response -> read(response, mine));
-        });
+    client.request(HttpMethod.GET, address.port(), address.host(), path()).onComplete(made -> {
+      if (mine != turn) {
+        if (made.succeeded()) made.result().reset();
+        return;
+      }
+      if (made.failed()) {
+        broke(mine, made.cause());
+        return;
+      }
+      watch = made.result();
+      watch.exceptionHandler(e -> broke(mine, e));
+      watch.send().onFailure(e -> broke(mine, e)).onSuccess(response -> read(response, mine));
+    });
+  }
+
+  private String path() {
+    String path = "/api/targets?follow=1&since=" + (wantsWhole ? 0 : index);
+    return series > 0 ? path + "&series=" + series : path;
   }
 
   private void read(HttpClientResponse response, int mine) {
@@ -106,36 +142,80 @@
       return;
     }
     ListReader lists = new ListReader();
+    readInRow = 0;
     response.exceptionHandler(e -> broke(mine, e));
     response.endHandler(v -> broke(mine, null));
     response.handler(more -> {
       if (mine != turn) return;
-      // Guards against a line that never ends: only what is whole says that the watch is well.
-      boolean whole = lists.feed(more, text -> take(text, mine));
-      if (whole && mine == turn) expect(mine, SILENT);
-      if (lists.isTooLong()) broke(mine, new IllegalStateException("a list without end"));
+      feed(lists, more, mine);
+      if (mine == turn) rest(response, more.length(), mine);
     });
   }
 
   /** What can't be read is asked for again: the changes it held would never be told otherwise. */
-  private void take(String text, int mine) {
-    if (mine != turn) return;
-    TargetList list;
+  private void feed(ListReader lists, Buffer more, int mine) {
     try {
-      list = TargetList.of(text);
-    } catch (RuntimeException e) {
-      counters.add(Count.LISTS_MALFORMED);
-      broke(mine, e);
-      return;
+      // Guards against a line that never ends: only what is whole says that the watch is well.
+      boolean whole = lists.feed(more, list -> take(list, mine));
+      if (whole && mine == turn) expect(mine, SILENT);
+    } catch (ListReader.Unreadable e) {
+      if (e.isTooLarge()) refuse(e.getMessage(), mine);
+      else {
+        counters.add(Count.LISTS_MALFORMED);
+        broke(mine, e);
+      }
+    } catch (OutOfMemoryError e) {
+      refuse(HeapFull.explain(e), mine);
     }
+  }
+
+  /** Guards against a long list that holds the loop up: between rows of it the loop does what else there is. */
+  private void rest(HttpClientResponse response, int bytes, int mine) {
+    readInRow += bytes;
+    if (readInRow < READ_AT_ONCE) return;
+    readInRow = 0;
+    response.pause();
+    desk.at(desk.now() + READ_PAUSE, () -> {
+      if (mine == turn) response.resume();
+    });
+  }
+
+  private void refuse(String why, int mine) {
+    refusedPause = Math.min(REFUSED_MOST, refusedPause == 0 ? REFUSED_FIRST : 2 * refusedPause);
+    notBefore = desk.now() + refusedPause;
+    counters.add(Count.LISTS_REFUSED);
+    LOG.warn("list refused, asked for again in {} s: {}", refusedPause / 10_000, why);
+    broke(mine, new IllegalStateException("a list too large"));
+  }
+
+  private void take(TargetList list, int mine) {
+    if (mine != turn) return;
     // Guards against an agent that is behind the one asked before (SIGHUP, a return): its list would turn drains back.
-    if (list.index() < index) {
+    if (list.series() < series || list.series() == series && list.index() < newest) {
       counters.add(Count.LISTS_OLD);
       return;
     }
-    index = list.index();
+    if (list.series() > series && !list.whole()) {
+      wantsWhole = true;
+      broke(mine, new IllegalStateException("a change of series " + list.series() + ", not known yet"));
+      return;
+    }
+    wantsWhole = wantsWhole && !list.whole();
+    series = list.series();
+    newest = list.index();
+    refusedPause = 0;
     counters.add(Count.LISTS);
-    host.listed(list);
+    beingApplied++;
+    host.listed(list, () -> applied(list));
+  }
+
+  private void applied(TargetList list) {
+    index = list.index();
+    beingApplied--;
+    if (beingApplied > 0 || whenApplied == null) return;
+    Runnable then = whenApplied;
+    whenApplied = null;
+    then.run();
   }
 
   private void expect(int mine, long within) {
--- a/src/main/java/saltlatch/wire/TargetList.java
+++ b/src/main/java/saltlatch/wire/TargetList.java
@@ -2,36 +2,42 @@
 
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
 import io.vertx.core.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.UnaryOperator;
 import saltlatch.api.Event.Condition;
 
-/** One message of discovery, decoded once; a target with no address is none to connect to. */
-public record TargetList(long index, boolean whole, List<Target> targets) {
+/**
+ * One message of discovery, decoded once; a target with no address is none to connect to. {@code series}: when the
+ * series of indices began, in Unix ms; 0 where discovery doesn't say.
+ */
+public record TargetList(long series, long index, boolean whole, List<Target> targets) {
   public record Target(String name, SocketAddress address, String zone, String type, int group,
       Condition condition, double weight, long sinceMs) {}
 
-  static TargetList of(String line) {
-    return of(JsonParser.parseString(line).getAsJsonObject());
+  public static TargetList of(JsonObject o) {
+    return of(o, new ArrayList<>(), UnaryOperator.identity());
   }
 
-  public static TargetList of(JsonObject o) {
-    List<Target> targets = new ArrayList<>();
-    for (JsonElement e : o.getAsJsonArray("endpoints")) {
-      JsonObject t = e.getAsJsonObject();
-      Condition condition = condition(t.get("status").getAsString());
-      String address = text(t, "address");
-      if (address.isEmpty() && condition == Condition.READY)
-        throw new IllegalArgumentException("ready at no address");
-      targets.add(new Target(t.get("name").getAsString(), address.isEmpty() ? null : Dial.address(address),
-          text(t, "zone"), text(t, "type"), t.has("group") ? t.get("group").getAsInt() : 0, condition,
-          t.has("weight") ? t.get("weight").getAsDouble() : 1,
-          t.has("since_ms") ? t.get("since_ms").getAsLong() : 0));
-    }
-    return new TargetList(o.get("index").getAsLong(), o.get("snapshot").getAsBoolean(), targets);
+  /** What stands outside entries, and the entries decoded already; {@code word}: gives words that recur. */
+  static TargetList of(JsonObject o, List<Target> decoded, UnaryOperator<String> word) {
+    for (JsonElement e : o.getAsJsonArray("endpoints")) decoded.add(target(e.getAsJsonObject(), word));
+    long series = o.has("series") ? o.get("series").getAsLong() : 0;
+    return new TargetList(series, o.get("index").getAsLong(), o.get("snapshot").getAsBoolean(), decoded);
+  }
+
+  static Target target(JsonObject t, UnaryOperator<String> word) {
+    Condition condition = condition(t.get("status").getAsString());
+    String address = text(t, "address");
+    if (address.isEmpty() && condition == Condition.READY)
+      throw new IllegalArgumentException("ready at no address");
+    return new Target(t.get("name").getAsString(), address.isEmpty() ? null : Dial.address(address),
+        word.apply(text(t, "zone")), word.apply(text(t, "type")),
+        t.has("group") ? t.get("group").getAsInt() : 0, condition,
+        t.has("weight") ? t.get("weight").getAsDouble() : 1,
+        t.has("since_ms") ? t.get("since_ms").getAsLong() : 0);
   }
 
   private static Condition condition(String status) {
