Tests of lists at 34,000 entries, refusals, slow lines, series, hollow nodes, a full heap

Each list that a batch completes is told to the hook, not only the newest (HollowNodeTest found that).

--- a/src/main/java/saltlatch/node/Pilot.java
+++ b/src/main/java/saltlatch/node/Pilot.java
@@ -46,8 +46,6 @@
       Peers.Host {
   private static final Logger LOG = LoggerFactory.getLogger(Pilot.class);
 
-  private static final long NO_LIST = Long.MIN_VALUE;
-
   private final Vertx vertx;
   private final Context loop;
   private final Station station;
@@ -72,7 +70,7 @@
   private TargetDirectory directory;
   private ListApplier lists;
   private LongConsumer onListed = index -> {};
-  private long listInBatch = NO_LIST; // index of the newest list that the batch completes
+  private final List<Long> listsInBatch = new ArrayList<>(); // indices of those that the batch completes
   private boolean ended;
   private CounterClient counter;
   private Discovery discovery;
@@ -107,7 +105,7 @@
       peers = new Peers(vertx, station.peerListen(), station.peers(), station.peersAll(), this, counters);
     }
     gateway = maker.start(clock.now(), station.site(), this);
-    listInBatch = station.known().index();
+    listsInBatch.add(station.known().index());
     add(directory.take(station.known(), Event.ListKind.CACHED));
     if (station.membership()) roster = new Roster(this, peers, history, station, this::add);
   }
@@ -230,17 +228,15 @@
       LOG.error("the module failed", e);
       counters.add(Count.EXCEPTIONS);
       for (Event event : events) drop(event);
-      listInBatch = NO_LIST;
+      listsInBatch.clear();
     }
     tellListed();
     arm();
   }
 
   private void tellListed() {
-    if (listInBatch == NO_LIST) return;
-    long index = listInBatch;
-    listInBatch = NO_LIST;
-    onListed.accept(index);
+    listsInBatch.forEach(onListed::accept);
+    listsInBatch.clear();
   }
 
   /** A req that the module failed on gets its final answer here, and the module is told that it is gone. */
@@ -344,7 +340,7 @@
   public void listed(TargetList list, Runnable applied) {
     lists.apply(list, () -> {
       applied.run();
-      listInBatch = list.index();
+      listsInBatch.add(list.index());
       if (!scheduled) tellListed(); // its last slice told the module nothing new
     });
   }
--- /dev/null
+++ b/src/test/java/saltlatch/node/HeapFullTest.java
@@ -0,0 +1,55 @@
+package saltlatch.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonParseException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import saltlatch.state.HeapFull;
+
+/** A heap that is full is called so, whatever a library makes of it. */
+@Timeout(60)
+class HeapFullTest {
+  private static final int PLANS = 40_000;
+
+  @Test
+  void isToldFromOtherFailures() {
+    Throwable wrapped = new JsonParseException("Failed parsing JSON source",
+        new OutOfMemoryError("Java heap space"));
+    assertTrue(HeapFull.explain(wrapped).matches("the heap of \\d+ MB is full.*"), HeapFull.explain(wrapped));
+    assertEquals("java.lang.IllegalStateException: other",
+        HeapFull.explain(new IllegalStateException("other")));
+    assertFalse(HeapFull.isCauseOf(new IllegalStateException(new RuntimeException())));
+  }
+
+  /** Plans that don't fit into the heap: one line that says so, and code 2. */
+  @Test
+  void configurationThatDoesNotFit(@TempDir Path dir) throws Exception {
+    String plan = "{\"name\":\"plan\",\"refill\":1,";
+    String text = Files.readString(Path.of("deploy/sample.json"));
+    assertTrue(text.contains(plan));
+    StringBuilder plans = new StringBuilder();
+    for (int i = 0; i < PLANS; i++) {
+      plans.append(plan.replace("plan", "plan-" + i))
+          .append("\"peakUnits\":6,\"pays\":1,\"capRate\":0,\"hardBurst\":0,\"parallel\":0},");
+    }
+    Path config = Files.writeString(dir.resolve("config.json"), text.replace(plan, plans + plan));
+    Path log = dir.resolve("log.txt");
+    ProcessBuilder command = new ProcessBuilder(
+        Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx24m", "-XX:+UseSerialGC",
+        "-cp", System.getProperty("java.class.path"), "saltlatch.Main", "serve");
+    command.environment().put("LB_CONFIG", config.toString());
+    Process process = command.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+    assertTrue(process.waitFor(30, TimeUnit.SECONDS));
+    String said = Files.readString(log);
+    assertEquals(2, process.exitValue(), said);
+    assertTrue(said.contains("config.json: the heap of 2"), said);
+    assertTrue(said.contains(" MB is full"), said);
+  }
+}
--- /dev/null
+++ b/src/test/java/saltlatch/node/HollowNodeTest.java
@@ -0,0 +1,72 @@
+package saltlatch.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import saltlatch.Control;
+
+/** Several nodes' control parts in one JVM, with the real module. */
+@Timeout(60)
+class HollowNodeTest {
+  private static String list(int index, String name) {
+    return "{\"index\":" + index + ",\"snapshot\":false,\"endpoints\":[{\"name\":\"" + name
+        + "\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\",\"type\":\"m\",\"status\":\"Ready\"}]}\n";
+  }
+
+  @Test
+  void followDiscoveryEachOnItsOwnLoop() throws Exception {
+    Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(2));
+    List<HollowNode> nodes = new ArrayList<>();
+    List<BlockingQueue<Long>> applied = new ArrayList<>();
+    try (ServerSocket discovery = NodeHarness.listen()) {
+      String config = Files.readString(Path.of("deploy/sample.json"))
+          .replace("\"discovery\":\"127.0.0.1:16379\"",
+              "\"discovery\":\"127.0.0.1:" + discovery.getLocalPort() + "\"")
+          .replace("\"peer_listen\":\"127.0.0.1:16379\",", "");
+      for (int i = 0; i < 2; i++) {
+        CompletableFuture<Context> loop = new CompletableFuture<>();
+        vertx.deployVerticle(context -> {
+          loop.complete(context);
+          return Future.succeededFuture();
+        });
+        HollowNode node = new HollowNode(vertx, loop.get(20, TimeUnit.SECONDS), Station.of(config));
+        BlockingQueue<Long> indices = new LinkedBlockingQueue<>();
+        node.onListed(indices::add);
+        node.start(Control::new);
+        assertEquals(1, indices.poll(20, TimeUnit.SECONDS));
+        nodes.add(node);
+        applied.add(indices);
+        Socket watch = discovery.accept();
+        watch.setSoTimeout(20_000);
+        NodeHarness.line(watch);
+        NodeHarness.stream(watch, list(2 + i, "s-1") + list(4, "s-2"));
+        assertEquals(2 + i, applied.get(i).poll(20, TimeUnit.SECONDS));
+        assertEquals(4, applied.get(i).poll(20, TimeUnit.SECONDS));
+        assertEquals(4, node.listIndex());
+        assertEquals(3, node.listed());
+        assertTrue(node.figures().contains("lists=2\n"), node.figures());
+        node.stop();
+        while (!NodeHarness.line(watch).equals("closed")) continue; // the watch ends
+        watch.close();
+      }
+    } finally {
+      vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/saltlatch/node/LargeListTest.java
@@ -0,0 +1,139 @@
+package saltlatch.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import saltlatch.api.Event;
+import saltlatch.wire.Discovery;
+
+/** Lists of the size that is coming, from discovery's socket to the module. */
+@Timeout(60)
+class LargeListTest extends NodeHarness {
+  private static final int MANY = 34_000;
+
+  private final BlockingQueue<Event.Listed> events = new LinkedBlockingQueue<>();
+  private final List<Event.Entry> entries = new ArrayList<>(); // of all events so far
+
+  private static String target(String name, String status) {
+    return "{\"name\":\"" + name
+        + "\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\",\"type\":\"m\",\"group\":3,\"status\":\"" + status
+        + "\",\"weight\":1.0,\"since_ms\":1764651600000}";
+  }
+
+  private static String list(int index, boolean whole, List<String> targets) {
+    return "{\"index\":" + index + ",\"snapshot\":" + whole + ",\"endpoints\":[" + String.join(",", targets)
+        + "]}\n";
+  }
+
+  private static List<String> ready(int from, int to) {
+    List<String> all = new ArrayList<>();
+    for (int i = from; i < to; i++) all.add(target("s-" + i, "Ready"));
+    return all;
+  }
+
+  private Socket watch(String asks) throws IOException {
+    Socket s = accept(discovery);
+    assertEquals("GET /api/targets?follow=1&since=" + asks + " HTTP/1.1", line(s));
+    script = e -> {
+      if (e instanceof Event.Listed l) events.add(l);
+    };
+    return s;
+  }
+
+  private static void more(Socket s, String body) throws IOException {
+    say(s, Integer.toHexString(body.length()) + "\r\n" + body + "\r\n");
+  }
+
+  /** Takes in events until so many entries have come; each event is a slice, and alone among lists in its batch. */
+  private void until(int count) throws InterruptedException {
+    while (entries.size() < count) {
+      Event.Listed event = events.poll(20, TimeUnit.SECONDS);
+      assertTrue(event != null, entries.size() + " entries, then nothing");
+      assertEquals(Event.ListKind.CHANGES, event.kind());
+      assertTrue(event.entries().size() <= Discovery.SLICE, event.entries().size() + " in one event");
+      entries.addAll(event.entries());
+    }
+    assertEquals(count, entries.size());
+    for (List<String> batch : batches) assertTrue(batch.size() == 1, () -> batch.size() + " events at once");
+  }
+
+  private int distinct(Event.Condition condition) {
+    BitSet numbers = new BitSet();
+    entries.stream().filter(e -> e.condition() == condition).forEach(e -> numbers.set((int) e.srv()));
+    return numbers.cardinality();
+  }
+
+  /** All of it is known in the end: what left the list first, then what drains, then the rest; a newer change behind it. */
+  @Test
+  void wholeListInSlices() throws Exception {
+    Socket s = watch("1");
+    List<String> targets = ready(1, MANY);
+    targets.add(target("drains", "Terminating"));
+    stream(s, list(2, true, targets));
+    more(s, list(3, false, List.of(target("s-5", "Terminating"))));
+    until(MANY + 2);
+    assertEquals(Event.Condition.GONE, entries.get(0).condition()); // s-0, of the list last known
+    assertEquals(0, entries.get(0).srv());
+    assertEquals(Event.Condition.DRAINING, entries.get(1).condition());
+    assertEquals(MANY - 1, distinct(Event.Condition.READY));
+    Event.Entry last = entries.get(MANY + 1);
+    assertEquals(Event.Condition.DRAINING, last.condition());
+    assertEquals(3, last.cell());
+    s.close();
+    watch("3");
+  }
+
+  /** A whole list that names few removes thousands, a slice at a time; the last entry of a name counts. */
+  @Test
+  void shrinksAndGrows() throws Exception {
+    Socket s = watch("1");
+    List<String> first = ready(0, 2_000);
+    first.add(target("s-7", "Gone"));
+    stream(s, list(2, true, first));
+    until(2_000);
+    assertEquals(1, distinct(Event.Condition.GONE));
+    assertEquals(1_999, distinct(Event.Condition.READY));
+    entries.clear();
+    more(s, list(3, true, List.of(target("s-9", "Ready"))));
+    until(1_999);
+    assertEquals(1_998, distinct(Event.Condition.GONE));
+    assertEquals(Event.Condition.READY, entries.get(1_998).condition());
+    entries.clear();
+    more(s, list(4, false, ready(10_000, 10_600)));
+    until(600);
+    assertEquals(600, distinct(Event.Condition.READY));
+  }
+
+  /** At most a slice goes to the module as one event, as it came. */
+  @Test
+  void smallListsAreOneEvent() throws Exception {
+    Socket s = watch("1");
+    stream(s, list(2, true, ready(1, 1 + Discovery.SLICE)));
+    Event.Listed event = events.poll(20, TimeUnit.SECONDS);
+    assertEquals(Event.ListKind.WHOLE, event.kind());
+    assertEquals(Discovery.SLICE, event.entries().size());
+  }
+
+  /** The agent ends while the slices go: what was read is applied, and the next watch goes on behind it. */
+  @Test
+  void watchEndsDuringSlices() throws Exception {
+    Socket s = watch("1");
+    stream(s, list(2, true, ready(0, MANY)));
+    assertEquals(Discovery.SLICE, events.take().entries().size());
+    s.close();
+    while (distinct(Event.Condition.READY) < MANY - Discovery.SLICE) {
+      entries.addAll(events.poll(20, TimeUnit.SECONDS).entries());
+    }
+    watch("2");
+  }
+}
--- /dev/null
+++ b/src/test/java/saltlatch/wire/DiscoveryTest.java
@@ -0,0 +1,238 @@
+package saltlatch.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.SocketAddress;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import saltlatch.state.Counters;
+import saltlatch.state.Timers;
+
+/** The watch on real connections with a clock that the test moves: what it asks for, and when. */
+@Timeout(60)
+class DiscoveryTest {
+  private static final String READY = "{\"name\":\"s-1\",\"address\":\"127.0.0.1:9\",\"status\":\"Ready\"}";
+
+  /** A clock and timers that move by hand; what is asked of them is told, in tenths of a ms from then. */
+  private final class ManualDesk implements Desk {
+    private final Timers timers = new Timers();
+    private long now = 1_000_000;
+
+    @Override
+    public long now() {
+      return now;
+    }
+
+    @Override
+    public Timers.Timer at(long when, Runnable then) {
+      events.add("at " + (when - now));
+      return timers.add(when, then);
+    }
+
+    @Override
+    public void afterTurn(Runnable then) {
+      then.run();
+    }
+  }
+
+  /** Follows again at once, and says that a list is applied when the test wants it to. */
+  private final class Follower implements Discovery.Host {
+    @Override
+    public void listed(TargetList list, Runnable applied) {
+      events.add("listed " + list.series() + "/" + list.index());
+      if (appliesAtOnce) applied.run();
+      else toApply.add(applied);
+    }
+
+    @Override
+    public void watchEnded() {
+      events.add("ended");
+      discovery.follow();
+    }
+  }
+
+  private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+  private final BlockingQueue<Runnable> toApply = new LinkedBlockingQueue<>();
+  private final List<Socket> sockets = new ArrayList<>();
+  private final ManualDesk desk = new ManualDesk();
+  private final Counters counters = new Counters();
+  private volatile boolean appliesAtOnce = true;
+  private Vertx vertx;
+  private Context loop;
+  private ServerSocket agent;
+  private Socket watch;
+  private Discovery discovery;
+
+  @BeforeEach
+  void start() throws Exception {
+    vertx = Vertx.vertx();
+    loop = vertx.getOrCreateContext();
+    agent = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    agent.setSoTimeout(20_000);
+    discovery = new Discovery(vertx, SocketAddress.inetSocketAddress(agent.getLocalPort(), "127.0.0.1"), desk,
+        new Follower(), counters, new TargetList(0, 1, true, List.of()));
+    onLoop(discovery::follow);
+    next("at 0");
+  }
+
+  @AfterEach
+  void end() throws Exception {
+    for (Socket s : sockets) s.close();
+    agent.close();
+    vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+  }
+
+  private void onLoop(Runnable what) throws Exception {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    loop.runOnContext(v -> {
+      what.run();
+      done.complete(null);
+    });
+    done.get(10, TimeUnit.SECONDS);
+  }
+
+  private void pass(long tenths) throws Exception {
+    onLoop(() -> {
+      desk.now += tenths;
+      desk.timers.run(desk.now);
+    });
+  }
+
+  private void next(String... expected) throws InterruptedException {
+    for (String one : expected) assertEquals(one, events.poll(20, TimeUnit.SECONDS));
+  }
+
+  /** Opens the watch that is due after {@code tenths}, and has it answered with this beginning. */
+  private void watched(long tenths, String asks, String begins) throws Exception {
+    pass(tenths);
+    watch = agent.accept();
+    sockets.add(watch);
+    String line = new BufferedReader(
+        new InputStreamReader(watch.getInputStream(), StandardCharsets.ISO_8859_1)).readLine();
+    assertEquals("GET /api/targets?follow=1&" + asks + " HTTP/1.1", line);
+    next("at 20000");
+    write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    if (!begins.isEmpty()) more(begins);
+  }
+
+  private void more(String body) throws IOException {
+    write(Integer.toHexString(body.length()) + "\r\n" + body + "\r\n");
+  }
+
+  private void write(String text) throws IOException {
+    watch.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  private static String list(long series, int index, boolean whole) {
+    return "{\"index\":" + index + ",\"snapshot\":" + whole + (series > 0 ? ",\"series\":" + series : "")
+        + ",\"endpoints\":[" + READY + "]}\n";
+  }
+
+  private static String tooLarge() {
+    return "{\"index\":9,\"snapshot\":true,\"endpoints\":[{\"name\":\"" + "x".repeat(ListReader.LONGEST_PART);
+  }
+
+  /** Ever more seldom, up to 5 min; a list that can be taken ends that, as does an address of another agent. */
+  @Test
+  void tooLargeListsAreAskedForEverMoreSeldom() throws Exception {
+    long due = 0;
+    for (long pause : new long[] {10_000, 20_000, 40_000, 80_000, 160_000, 320_000, 640_000, 1_280_000,
+        2_560_000, 3_000_000, 3_000_000}) {
+      watched(due, "since=1", tooLarge());
+      next("ended", "at " + pause);
+      due = pause;
+    }
+    assertTrue(counters.text().contains("lists_refused=11\n"));
+    watched(due, "since=1", list(0, 2, true));
+    next("listed 0/2", "at 45000");
+    more(tooLarge());
+    next("ended", "at 10000");
+    onLoop(() -> discovery.move(SocketAddress.inetSocketAddress(agent.getLocalPort(), "localhost")));
+    next("at 0");
+  }
+
+  /** What is malformed, or ends, is asked for 1 s behind the last opening: told changes wait for no back-off. */
+  @Test
+  void otherEndsKnowNoBackOff() throws Exception {
+    long due = 0;
+    for (int i = 0; i < 4; i++) {
+      watched(due, "since=1", i % 2 == 0 ? "{\"index\":2,\"endpoints\":[5]}\n" : "x".repeat(9_000));
+      next("ended", "at 10000");
+      due = 10_000;
+    }
+    assertTrue(counters.text().contains("lists_malformed=4\nlists_old=0\nlists_refused=0\n"));
+  }
+
+  /** A long line that comes slowly is read to its end; one whose entry never ends is given up in time. */
+  @Test
+  void slowLine() throws Exception {
+    watched(0, "since=1", "{\"index\":2,\"snapshot\":true,\"endpoints\":[");
+    pass(15_000);
+    for (int i = 0; i < 5; i++) {
+      more((i == 0 ? "" : ",") + READY);
+      next("at 45000");
+      pass(44_999);
+    }
+    more("]}\n");
+    next("listed 0/2", "at 45000");
+    more("{\"index\":3,\"snapshot\":true,\"endpoints\":[" + READY);
+    next("at 45000");
+    pass(44_999);
+    more(",{\"name\":\"s-2");
+    pass(1);
+    next("ended", "at 0");
+  }
+
+  /** While a list is being applied no other watch opens, and the next one goes on behind that list. */
+  @Test
+  void brokenWhileAListIsBeingApplied() throws Exception {
+    appliesAtOnce = false;
+    watched(0, "since=1", list(0, 2, true));
+    next("listed 0/2", "at 45000");
+    more(list(0, 3, false));
+    next("listed 0/3", "at 45000");
+    watch.close();
+    next("ended", "at 10000");
+    pass(10_000);
+    onLoop(toApply.take());
+    assertTrue(counters.text().contains("watches=1\n"));
+    onLoop(toApply.take());
+    watched(0, "since=3", list(0, 4, false));
+    next("listed 0/4", "at 45000");
+  }
+
+  /** A series that begins anew is taken from its whole list; what comes of an older one later is passed over. */
+  @Test
+  void seriesThatBeginsAnew() throws Exception {
+    watched(0, "since=1", list(0, 40, true) + list(100, 41, false));
+    next("listed 0/40", "ended", "at 10000");
+    watched(10_000, "since=0", list(100, 5, true) + list(0, 50, true) + list(99, 60, true)
+        + list(100, 4, true) + list(100, 6, false));
+    next("listed 100/5", "listed 100/6", "at 45000");
+    watch.close();
+    next("ended", "at 10000");
+    watched(10_000, "since=6&series=100", list(200, 1, false));
+    next("ended", "at 10000");
+    watched(10_000, "since=0&series=100", list(200, 1, true));
+    next("listed 200/1", "at 45000");
+    assertTrue(counters.text().contains("lists_old=3\n"));
+  }
+}
--- /dev/null
+++ b/src/test/java/saltlatch/wire/ListReaderTest.java
@@ -0,0 +1,116 @@
+package saltlatch.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Objects of discovery's stream, in any order of their fields, cut anywhere, and those beyond a bound. */
+class ListReaderTest {
+  private static final String ENTRY = "{\"name\":\"ş-1\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\","
+      + "\"type\":\"m\",\"status\":\"Ready\"}";
+  private static final String GONE = "{\"name\":\"s-2\",\"status\":\"Gone\",\"tags\":[{\"k\":\"]}\"}]}";
+
+  private final List<TargetList> lists = new ArrayList<>();
+
+  private boolean read(ListReader reader, String text) throws ListReader.Unreadable {
+    return reader.feed(Buffer.buffer(text), lists::add);
+  }
+
+  private String seen() {
+    StringBuilder text = new StringBuilder();
+    for (TargetList list : lists) {
+      text.append(list.series()).append('/').append(list.index()).append(list.whole() ? " whole" : "");
+      list.targets().forEach(t -> text.append(' ').append(t.name()).append(' ').append(t.condition()));
+      text.append('\n');
+    }
+    return text.toString();
+  }
+
+  private static ListReader.Unreadable unreadable(String text) {
+    return assertThrows(ListReader.Unreadable.class,
+        () -> new ListReader().feed(Buffer.buffer(text), list -> {}), text);
+  }
+
+  /** The key {@code endpoints} elsewhere, as a value and within another object, begins no entries. */
+  @Test
+  void anyOrderOfFields() throws Exception {
+    String[] texts = {
+        "{\"endpoints\" : [" + ENTRY + " , " + GONE + "],\"index\":7,\"snapshot\":true,\"series\":5}\n",
+        "{\"index\":7,\"endpoints\":[" + ENTRY + "," + GONE + "],\"snapshot\":true,\"series\":5}\n",
+        "{\"note\":\"\\\"endpoints\\\":[\",\"more\":{\"endpoints\":[1,2]},\"snapshot\":true,\"index\":7,"
+            + "\"series\":5,\n  \"endpoints\":[\n  " + ENTRY + ",\n  " + GONE + "\n]}\n"};
+    for (String text : texts) {
+      ListReader reader = new ListReader();
+      for (byte one : text.getBytes(java.nio.charset.StandardCharsets.UTF_8)) {
+        reader.feed(Buffer.buffer(new byte[] {one}), lists::add);
+      }
+      assertTrue(read(reader, text));
+    }
+    assertEquals("5/7 whole ş-1 READY s-2 GONE\n".repeat(6), seen());
+  }
+
+  @Test
+  void emptyListsAndBlankLines() throws Exception {
+    ListReader reader = new ListReader();
+    assertTrue(read(reader, "\n"));
+    assertFalse(read(reader, " {\"index\":3,\"snapshot\":false,\"endpoints\":[]}"));
+    assertTrue(read(reader, "\r\n"));
+    assertEquals("0/3\n", seen());
+  }
+
+  /** What says that a watch is well while a long line comes: a whole entry, not bytes of one. */
+  @Test
+  void wholeEntriesAreProgress() throws Exception {
+    ListReader reader = new ListReader();
+    assertFalse(read(reader, "{\"index\":3,\"snapshot\":true,\"endpoints\":[" + ENTRY.substring(0, 40)));
+    assertFalse(read(reader, ENTRY.substring(40, 50)));
+    assertTrue(read(reader, ENTRY.substring(50)));
+    assertFalse(read(reader, ","));
+    assertTrue(read(reader, GONE + "]}\n"));
+    assertEquals("0/3 whole ş-1 READY s-2 GONE\n", seen());
+  }
+
+  @Test
+  void recurringWordsAreKeptOnce() throws Exception {
+    read(new ListReader(), "{\"index\":3,\"snapshot\":true,\"endpoints\":[" + ENTRY + "," + ENTRY + "]}\n");
+    List<TargetList.Target> targets = lists.get(0).targets();
+    assertSame(targets.get(0).zone(), targets.get(1).zone());
+    assertSame(targets.get(0).type(), targets.get(1).type());
+  }
+
+  @Test
+  void malformedEntriesAreNoMatterOfSize() {
+    String[] within = {ENTRY + ENTRY, ENTRY + ",", "," + ENTRY, ENTRY + ",," + GONE, "5", "null", "\"s-1\"",
+        "[" + ENTRY + "]", "{}", "{\"name\":\"s-1\",\"status\":\"Asleep\"}", ENTRY + "}"};
+    for (String one : within) {
+      String text = "{\"index\":3,\"snapshot\":true,\"endpoints\":[" + one + "]}\n";
+      assertFalse(unreadable(text).isTooLarge(), text);
+    }
+    for (String text : new String[] {"{\"index\":3,\"snapshot\":true}\n", "{\"endpoints\":[" + ENTRY + "]}\n",
+        "{\"index\":3,\"snapshot\":true,\"endpoints\":[" + ENTRY + ",\n{\"index\":4}\n", "]\n", "[]\n"}) {
+      assertFalse(unreadable(text).isTooLarge(), text);
+    }
+    assertFalse(unreadable("x".repeat(ListReader.LONGEST_PART + 1)).isTooLarge());
+  }
+
+  /** At the bound it is read, one beyond it is refused, and so is one entry that is too long; the size is told. */
+  @Test
+  void bounds() throws Exception {
+    String head = "{\"index\":3,\"snapshot\":true,\"endpoints\":[" + GONE;
+    String most = head + ("," + GONE).repeat(ListReader.MOST_ENTRIES - 1);
+    read(new ListReader(), most + "]}\n");
+    assertEquals(ListReader.MOST_ENTRIES, lists.get(0).targets().size());
+    ListReader.Unreadable many = unreadable(most + "," + GONE + "]}\n");
+    assertTrue(many.isTooLarge());
+    assertTrue(many.getMessage().contains("65536 entries and " + (most.length() + 2) + " bytes"),
+        many.getMessage());
+    assertTrue(unreadable(head + ",{\"name\":\"" + "x".repeat(ListReader.LONGEST_PART)).isTooLarge());
+  }
+}
