Shares below one req begin by a draw where many nodes have no counter

Change: the draw is kept apart (drawn) and given back at rejoin; it is made only where the part, times the burst and what chance adds to it (two roots and two), is below one req: 12 nodes and more of a burst of 5, not six. GossipTest, ControlTest pass.

--- a/src/main/java/saltlatch/Control.java
+++ b/src/main/java/saltlatch/Control.java
@@ -177,7 +177,7 @@
     rules = site.rules();
     chance = new SplittableRandom(site.seed());
     gossip = new Gossip(site.peers().me(), site.nodes(), site.peers().intake(), site.peers().fee());
-    quotas = new Quotas(now, site, gossip);
+    quotas = new Quotas(now, site, gossip, chance);
     long shortest = Long.MAX_VALUE;
     for (Site.Frontend f : site.frontends()) {
       shortest = Math.min(shortest, f.target());
--- a/src/main/java/saltlatch/Quotas.java
+++ b/src/main/java/saltlatch/Quotas.java
@@ -1,6 +1,7 @@
 package saltlatch;
 
 import java.util.ArrayDeque;
+import java.util.SplittableRandom;
 import java.util.function.Predicate;
 import saltlatch.api.Event;
 import saltlatch.api.Index;
@@ -25,6 +26,8 @@
   static final double MOST_TOLD = 8; // bursts: a peer that tells of more in one window is wrong
   static final double NOUGHT = 0.01; // units: totals come to seven digits
   static final double LATE = 1.2; // periods without a word after which a peer may be cut off: one is overdue
+  static final double CHANCE_ROOTS = 2; // roots of a burst: with CHANCE_UNITS what chance adds to it
+  static final double CHANCE_UNITS = 2; // units: for bursts so small that their root says little
   static final double COUNTED = 0.05; // step of the part of charges counted before the turn: 20 windows
 
   /** One customer's count for one window; lives for the window and the longest client timeout. */
@@ -57,6 +60,7 @@
     long roomAt;
     double alone = -1; // units passed without the counter since its last answer; below 0: not alone
     double held; // part of the quota that the room stands for while alone
+    double drawn; // units taken off that room for a place on the way to the next req; passed by nobody
     double scale = 1; // the same while peers are heard: the part of those that hear each other
     double apart; // units they passed while that was below 1
     double meanwhile; // units this node passed while some peer was overdue
@@ -70,6 +74,7 @@
 
   private final Site site;
   private final Gossip gossip;
+  private final SplittableRandom chance;
   private final long started;
   private final Index<Customer> customers = new Index<>();
   private final Index<Window> windows = new Index<>();
@@ -77,10 +82,11 @@
   private Shares shares; // null: nodes do not know each other
   private double counted = 1; // part of this node's charges that calls carried before their window turned
 
-  Quotas(long now, Site site, Gossip gossip) {
+  Quotas(long now, Site site, Gossip gossip, SplittableRandom chance) {
     this.now = now;
     this.site = site;
     this.gossip = gossip;
+    this.chance = chance;
     started = now;
   }
 
@@ -134,6 +140,9 @@
   private void rejoin(Customer c) {
     fill(c);
     if (c.alone >= 0) {
+      // A draw is no use: over the small part held it would become a debt of many bursts.
+      c.room = Math.min(c.plan.burst() * c.held, c.room + c.drawn);
+      c.drawn = 0;
       c.room = (c.room + c.alone * counted) / c.held - c.alone * counted + c.presumed;
       c.presumed = 0;
     }
@@ -302,10 +311,27 @@
       c.held = shares == null ? c.share : Math.max(NOUGHT, shares.own(now, c.first, c.width));
       if (shares != null) presume(c);
       c.room *= c.held;
+      if (partIsBelowOneReq(c)) draw(c, units);
     }
     return c.room > 0;
   }
 
+  /**
+   * Any room above nought lets a whole req through. Guards, where there is no counter, against so many nodes
+   * that one req of each is more than the quota and what chance adds to it.
+   */
+  private boolean partIsBelowOneReq(Customer c) {
+    double burst = c.plan.burst();
+    double most = burst + CHANCE_ROOTS * Math.sqrt(burst) + CHANCE_UNITS;
+    return !site.counting().open() && c.held * most < 1;
+  }
+
+  /** This node begins anywhere on the way to its next req, so that all together pass what they hold. */
+  private void draw(Customer c, double units) {
+    c.drawn = units * chance.nextDouble();
+    c.room -= c.drawn;
+  }
+
   /**
    * What those may have passed of whom no word came for over a period: they may be cut off, the same room
    * before their eyes. They are taken to pass what they did, or as much each as this node does meanwhile.
--- a/src/test/java/saltlatch/GossipTest.java
+++ b/src/test/java/saltlatch/GossipTest.java
@@ -103,7 +103,7 @@
     for (int i = 0; i < n; i++) {
       Site site = Trace.site(i, n, PLAN, false, false, i, intake);
       gossips.add(new Gossip(i, n, intake, 0));
-      quotas.add(new Quotas(0, site, gossips.get(i)));
+      quotas.add(new Quotas(0, site, gossips.get(i), new SplittableRandom(i)));
     }
     double store = PLAN.burst();
     double passed = 0;
