--- a/src/main/java/saltlatch/wire/ClientLink.java
+++ b/src/main/java/saltlatch/wire/ClientLink.java
@@ -103,14 +103,19 @@
       crossed += more.length();
       if (crossed > LINGER_BYTES) Closing.atOnce(socket);
     });
-    if (broken) socket.resume();
-    else socket.pause();
+    takeWhatCrosses();
     socket.write(Buffer.buffer()).onComplete(v -> { // behind the answers
+      takeWhatCrosses(); // once more: behind what was pending the library reads again
       Closing.ownSide(socket);
       endsWithin(LINGER);
     });
   }
 
+  private void takeWhatCrosses() {
+    if (broken) socket.resume();
+    else Closing.leaveUnread(socket);
+  }
+
   private void endsWithin(long time) {
     door.desk().at(door.desk().now() + time, () -> Closing.atOnce(socket));
   }
--- a/src/main/java/saltlatch/wire/Closing.java
+++ b/src/main/java/saltlatch/wire/Closing.java
@@ -25,6 +25,12 @@
     context(socket).close(); // from here on: the channel's own would pass Vert.x' handler, which waits
   }
 
+  /** Bytes that come from now on stay in the system. The library's own pause still takes in up to eight buffers of them. */
+  static void leaveUnread(NetSocket socket) {
+    socket.pause();
+    context(socket).channel().config().setAutoRead(false);
+  }
+
   private static ChannelHandlerContext context(NetSocket socket) {
     return ((NetSocketInternal) socket).channelHandlerContext();
   }
--- a/src/test/java/saltlatch/node/ShutdownTest.java
+++ b/src/test/java/saltlatch/node/ShutdownTest.java
@@ -4,7 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -147,4 +152,19 @@
     assertTrue(answers > 0);
     done.get(5, TimeUnit.SECONDS);
   }
+
+  /** What a client sends on a connection that this node has just ended stays unread: a reset tells that it was not taken. */
+  @Test
+  void askedBehindTheEnd() throws Exception {
+    try (SocketChannel c = SocketChannel.open(new InetSocketAddress("127.0.0.1", node.port()))) {
+      ByteBuffer got = ByteBuffer.allocate(64);
+      c.write(ByteBuffer.wrap(PING.getBytes(StandardCharsets.ISO_8859_1)));
+      assertEquals(7, c.read(got));
+      CompletableFuture<Void> done = ending();
+      assertEquals(-1, c.read(got));
+      c.write(ByteBuffer.wrap(req(0).getBytes(StandardCharsets.ISO_8859_1)));
+      done.get(5, TimeUnit.SECONDS);
+      assertThrows(IOException.class, () -> c.write(ByteBuffer.allocate(1))); // else the system takes it: no reset has come
+    }
+  }
 }
