--- a/src/main/java/saltlatch/node/HollowNode.java
+++ b/src/main/java/saltlatch/node/HollowNode.java
@@ -23,10 +23,10 @@
   private volatile LongConsumer hook = index -> {};
 
   /** Neither starts nor connects anything yet; {@code loop}: the event loop that it is to live on. */
-  public HollowNode(Vertx vertx, Context loop, Station station) {
+  public HollowNode(Vertx vertx, Context loop, NodeConfiguration configuration) {
     this.loop = loop;
-    pilot = new Pilot(vertx, loop, station, new Counters(), station.memoryMb() * 1024L * 1024 / BYTES_PART,
-        null);
+    pilot = new Pilot(vertx, loop, configuration, new Counters(),
+        configuration.memoryMb() * 1024L * 1024 / BYTES_PART, null);
     pilot.onListed(this::applied);
   }
 
--- a/src/main/java/saltlatch/node/Station.java
+++ b/src/main/java/saltlatch/node/NodeConfiguration.java
@@ -15,11 +15,11 @@
 import saltlatch.wire.TargetList;
 
 /** Where this node stands and what it may use, decoded once from its configuration. Times are tenths of a ms. */
-public record Station(String name, SocketAddress listen, SocketAddress discovery, SocketAddress counter,
-    SocketAddress peerListen, List<SocketAddress> peers, SocketAddress peersAll, Path history,
-    boolean membership, int memoryMb, int descriptors, long connectTime, long idleTime, long countLimit,
-    boolean mayTell, double mostUnits, List<String> loadFields, List<String> frontends, List<String> plans,
-    List<String> zones, List<String> types, TargetList known, Site site) {
+public record NodeConfiguration(String name, SocketAddress listen, SocketAddress discovery,
+    SocketAddress counter, SocketAddress peerListen, List<SocketAddress> peers, SocketAddress peersAll,
+    Path history, boolean membership, int memoryMb, int descriptors, long connectTime, long idleTime,
+    long countLimit, boolean mayTell, double mostUnits, List<String> loadFields, List<String> frontends,
+    List<String> plans, List<String> zones, List<String> types, TargetList known, Site site) {
 
   private static final int OWN_DESCRIPTORS = 72; // the JVM's own, the counter's, discovery, listening, just accepted
   private static final int LEAST_DESCRIPTORS = OWN_DESCRIPTORS + 64;
@@ -46,7 +46,7 @@
    *
    * @throws RuntimeException naming the key that is missing or wrong
    */
-  public static Station of(String text) {
+  public static NodeConfiguration of(String text) {
     JsonObject all = JsonParser.parseString(text).getAsJsonObject();
     for (String key : List.of("name", "seed", "listen", "discovery", "settings", "limits", "known")) {
       if (!all.has(key)) throw new IllegalArgumentException(key + " is missing");
@@ -67,7 +67,7 @@
       throw new IllegalArgumentException("membership wants peer_listen, an address in peers for each of the "
           + site.nodes() + " nodes, and mayTell with peerInPerS above 0");
     }
-    return new Station(Reader.word(all, "name"), address(all, "listen"), address(all, "discovery"),
+    return new NodeConfiguration(Reader.word(all, "name"), address(all, "listen"), address(all, "discovery"),
         address(all, "counter"), address(all, "peer_listen"), peers, address(all, "peers_all"),
         all.has("history") ? Path.of(all.get("history").getAsString()) : null, membership,
         Reader.typed(limits, "memory_mb", "number", JsonElement::getAsInt), descriptors,
--- a/src/main/java/saltlatch/node/Pilot.java
+++ b/src/main/java/saltlatch/node/Pilot.java
@@ -48,7 +48,7 @@
 
   private final Vertx vertx;
   private final Context loop;
-  private final Station station;
+  private final NodeConfiguration configuration;
   private final Counters counters;
   private final Clock clock = new Clock();
   private final Timers timers = new Timers();
@@ -77,37 +77,40 @@
   private Peers peers;
   private Roster roster; // null: nodes do not know each other, and none of membership's classes are loaded
 
-  Pilot(Vertx vertx, Context loop, Station station, Counters counters, long mostBytes, History history) {
+  Pilot(Vertx vertx, Context loop, NodeConfiguration configuration, Counters counters, long mostBytes,
+      History history) {
     this.history = history;
     this.vertx = vertx;
     this.loop = loop;
-    this.station = station;
+    this.configuration = configuration;
     this.counters = counters;
     exchanges = new Exchanges(mostBytes);
-    frontends = new Names(station.frontends());
-    plans = new Names(station.plans());
-    zones = new Names(station.zones());
-    types = new Names(station.types());
+    frontends = new Names(configuration.frontends());
+    plans = new Names(configuration.plans());
+    zones = new Names(configuration.zones());
+    types = new Names(configuration.types());
   }
 
   /** Starts the module on the list last known; the sockets of the client side open as they are needed. */
   void start(Gateway.Maker maker) {
     ranAt = clock.now();
-    appServers = new AppServers(vertx, this, this, counters, station.connectTime(), station.idleTime(),
-        station.appSrvLinks());
+    appServers = new AppServers(vertx, this, this, counters, configuration.connectTime(),
+        configuration.idleTime(), configuration.appSrvLinks());
     directory = new TargetDirectory(appServers, zones, types);
     lists = new ListApplier(directory, this, this::add);
-    if (station.counter() != null) {
-      counter = new CounterClient(vertx, station.counter(), this, this, counters, station.countLimit());
+    if (configuration.counter() != null) {
+      counter = new CounterClient(vertx, configuration.counter(), this, this, counters,
+          configuration.countLimit());
     }
-    discovery = new Discovery(vertx, station.discovery(), this, this, counters, station.known());
-    if (station.mayTell() && station.peerListen() != null) {
-      peers = new Peers(vertx, station.peerListen(), station.peers(), station.peersAll(), this, counters);
+    discovery = new Discovery(vertx, configuration.discovery(), this, this, counters, configuration.known());
+    if (configuration.mayTell() && configuration.peerListen() != null) {
+      peers = new Peers(vertx, configuration.peerListen(), configuration.peers(), configuration.peersAll(),
+          this, counters);
     }
-    gateway = maker.start(clock.now(), station.site(), this);
-    listsInBatch.add(station.known().index());
-    add(directory.take(station.known(), Event.ListKind.CACHED));
-    if (station.membership()) roster = new Roster(this, peers, history, station, this::add);
+    gateway = maker.start(clock.now(), configuration.site(), this);
+    listsInBatch.add(configuration.known().index());
+    add(directory.take(configuration.known(), Event.ListKind.CACHED));
+    if (configuration.membership()) roster = new Roster(this, peers, history, configuration, this::add);
   }
 
   /** The end is near, and planned: nothing is sent on any more, and the peers are told. */
@@ -135,11 +138,11 @@
 
   /** Once the node serves; where changes must be asked for, the module does. */
   void follow() {
-    if (!station.site().rules().mustFollow()) discovery.follow();
+    if (!configuration.site().rules().mustFollow()) discovery.follow();
   }
 
   /** Takes over what a configuration read anew names: discovery and the counter. The rest holds from the start. */
-  void move(Station to) {
+  void move(NodeConfiguration to) {
     counters.add(Count.RELOADS);
     LOG.info("discovery at {}, counter at {}", to.discovery(), to.counter());
     if (history != null) history.add("reloaded");
@@ -261,7 +264,7 @@
     int plan = plans.find(req.plan);
     counters.add(Count.REQS);
     // Guards against a stranger who uses the id of a req that is out: an app srv would take it for a second copy.
-    if (!station.allows(req, frontend, plan) || exchanges.holds(req.id)) {
+    if (!configuration.allows(req, frontend, plan) || exchanges.holds(req.id)) {
       counters.add(Count.REQS_UNKNOWN);
       client.aborted();
       return null;
@@ -327,7 +330,7 @@
   private List<Double> load(Answer answer) {
     if (answer.load().isEmpty()) return List.of();
     List<Double> values = new ArrayList<>();
-    for (String field : station.loadFields()) values.add(Answer.field(answer.load(), field));
+    for (String field : configuration.loadFields()) values.add(Answer.field(answer.load(), field));
     return values;
   }
 
@@ -348,7 +351,7 @@
   /** Where changes come unasked the watch is this host's to renew, elsewhere the module's. */
   @Override
   public void watchEnded() {
-    if (station.site().rules().mustFollow()) add(new Event.Listed(Event.ListKind.FAILED, List.of()));
+    if (configuration.site().rules().mustFollow()) add(new Event.Listed(Event.ListKind.FAILED, List.of()));
     else discovery.follow();
   }
 
@@ -420,7 +423,7 @@
 
   @Override
   public void probe(long srv) {
-    appServers.probe((int) srv, station.connectTime());
+    appServers.probe((int) srv, configuration.connectTime());
   }
 
   @Override
--- a/src/main/java/saltlatch/node/Roster.java
+++ b/src/main/java/saltlatch/node/Roster.java
@@ -31,16 +31,16 @@
   private Standing standing;
   private String share = "";
 
-  Roster(Desk desk, Peers peers, History history, Station station, Consumer<Event> module) {
+  Roster(Desk desk, Peers peers, History history, NodeConfiguration configuration, Consumer<Event> module) {
     this.desk = desk;
     this.peers = peers;
     this.history = history;
     this.module = module;
-    terms = Terms.of(station.site().nodes(), station.site().peers().intake());
+    terms = Terms.of(configuration.site().nodes(), configuration.site().peers().intake());
     long now = desk.now();
-    shares = new Shares(station.site().peers().me(), terms.members());
-    membership = new Membership(terms, station.site().peers().me(), now / SECOND, station.site().seed(), now,
-        this);
+    shares = new Shares(configuration.site().peers().me(), terms.members());
+    membership = new Membership(terms, configuration.site().peers().me(), now / SECOND,
+        configuration.site().seed(), now, this);
     look();
     tick();
   }
--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -35,7 +35,7 @@
 
   final Vertx vertx;
   final Context loop;
-  private final Station station;
+  private final NodeConfiguration configuration;
   private final Counters counters = new Counters();
   private final Pilot pilot;
   private final Door door;
@@ -43,18 +43,18 @@
   private final Promise<Void> begun = Promise.promise(); // what a new configuration changes is there
   private boolean stopping;
 
-  Serve(Station station) {
-    this.station = station;
+  Serve(NodeConfiguration configuration) {
+    this.configuration = configuration;
     vertx = OneLoop.of(Vertx.builder()).with(options()).build();
     vertx.exceptionHandler(this::unexpected);
     loop = vertx.getOrCreateContext();
     loop.exceptionHandler(this::unexpected);
-    history = station.history() == null ? null : new History(station.history(), station.name(),
-        ProcessHandle.current().pid() + "-" + System.nanoTime());
-    if (history != null) history.add("started", "nodes", station.site().nodes());
-    pilot = new Pilot(vertx, loop, station, counters, station.memoryMb() * 1024L * 1024 / BYTES_PART,
-        history);
-    door = new Door(vertx, pilot, pilot, counters, station.clientLinks());
+    history = configuration.history() == null ? null : new History(configuration.history(),
+        configuration.name(), ProcessHandle.current().pid() + "-" + System.nanoTime());
+    if (history != null) history.add("started", "nodes", configuration.site().nodes());
+    pilot = new Pilot(vertx, loop, configuration, counters,
+        configuration.memoryMb() * 1024L * 1024 / BYTES_PART, history);
+    door = new Door(vertx, pilot, pilot, counters, configuration.clientLinks());
   }
 
   private static VertxOptions options() {
@@ -69,7 +69,7 @@
     Hangups hangups = new Hangups();
     Serve serve;
     try {
-      serve = new Serve(Station.of(Files.readString(Path.of(path))));
+      serve = new Serve(NodeConfiguration.of(Files.readString(Path.of(path))));
     } catch (IOException | RuntimeException | OutOfMemoryError e) {
       err.println("saltlatch serve: configuration " + path + ": " + HeapFull.explain(e));
       return 2;
@@ -80,7 +80,7 @@
     try {
       serve.start(maker).toCompletionStage().toCompletableFuture().get();
     } catch (ExecutionException | InterruptedException e) {
-      err.println("saltlatch serve: " + serve.station.listen() + ": " + HeapFull.explain(e.getCause()));
+      err.println("saltlatch serve: " + serve.configuration.listen() + ": " + HeapFull.explain(e.getCause()));
       return HeapFull.isCauseOf(e) ? 2 : 3;
     }
     return 0;
@@ -105,7 +105,7 @@
   public static Future<Embedded> embedded(Gateway.Maker maker, String json) {
     Serve serve;
     try {
-      serve = new Serve(Station.of(json));
+      serve = new Serve(NodeConfiguration.of(json));
     } catch (RuntimeException e) {
       return Future.failedFuture(e);
     }
@@ -149,10 +149,10 @@
         open.fail(e);
         return;
       }
-      door.open(station.listen()).onFailure(open::fail).onSuccess(done -> {
+      door.open(configuration.listen()).onFailure(open::fail).onSuccess(done -> {
         if (stopping) return; // it never was ready: nobody counts on it
         door.ready();
-        LOG.info("{} serves on {}", station.name(), station.listen());
+        LOG.info("{} serves on {}", configuration.name(), configuration.listen());
         if (history != null) history.add("ready");
         open.complete();
         pilot.follow();
@@ -163,8 +163,8 @@
 
   /** SIGHUP has the configuration read again, and a bad one leaves all as it is. */
   void rereadOn(Hangups hangups, Path path) {
-    hangups.then(() -> loop
-        .runOnContext(v -> vertx.executeBlocking(() -> Station.of(Files.readString(path))).onFailure(e -> {
+    hangups.then(() -> loop.runOnContext(
+        v -> vertx.executeBlocking(() -> NodeConfiguration.of(Files.readString(path))).onFailure(e -> {
           counters.add(Count.RELOADS_FAILED);
           LOG.warn("configuration {} can't be used, the old one stays: {}", path, e.toString());
         }).onSuccess(to -> begun.future().onSuccess(b -> pilot.move(to))))); // one that comes early waits for the start
@@ -183,7 +183,7 @@
   Future<Void> stop() {
     long longest = 0;
     long target = 0;
-    for (Site.Frontend f : station.site().frontends()) {
+    for (Site.Frontend f : configuration.site().frontends()) {
       longest = Math.max(longest, f.clientTimeout() / 10);
       target = Math.max(target, f.target() / 10);
     }
--- a/src/test/java/saltlatch/node/HollowNodeTest.java
+++ b/src/test/java/saltlatch/node/HollowNodeTest.java
@@ -45,7 +45,7 @@
           loop.complete(context);
           return Future.succeededFuture();
         });
-        HollowNode node = new HollowNode(vertx, loop.get(20, TimeUnit.SECONDS), Station.of(config));
+        HollowNode node = new HollowNode(vertx, loop.get(20, TimeUnit.SECONDS), NodeConfiguration.of(config));
         BlockingQueue<Long> indices = new LinkedBlockingQueue<>();
         node.onListed(indices::add);
         node.start(Control::new);
--- a/src/test/java/saltlatch/node/NodeHarness.java
+++ b/src/test/java/saltlatch/node/NodeHarness.java
@@ -50,7 +50,7 @@
     counter = listen();
     discovery = listen();
     peer = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
-    node = new Serve(Station.of(config()));
+    node = new Serve(NodeConfiguration.of(config()));
     node.start(this::module).toCompletionStage().toCompletableFuture().get();
     assertEquals("listed CACHED [0 READY]", next());
   }
--- a/src/test/java/saltlatch/node/NodeTest.java
+++ b/src/test/java/saltlatch/node/NodeTest.java
@@ -317,7 +317,7 @@
   @Test
   void hangupBeforeTheStart(@TempDir Path dir) throws Exception {
     Path path = Files.writeString(dir.resolve("config.json"), config());
-    Serve early = new Serve(Station.of(config()));
+    Serve early = new Serve(NodeConfiguration.of(config()));
     ServerSocket was = discovery;
     discovery = listen();
     Files.writeString(path, config());
--- a/src/test/java/saltlatch/node/ShutdownTest.java
+++ b/src/test/java/saltlatch/node/ShutdownTest.java
@@ -119,7 +119,7 @@
   /** The end is told before the node is ready: it never gets ready, and is over at once. */
   @Test
   void beforeItIsReady() throws Exception {
-    Serve early = new Serve(Station.of(config()));
+    Serve early = new Serve(NodeConfiguration.of(config()));
     CompletableFuture<Void> done = early.stop().toCompletionStage().toCompletableFuture();
     CompletableFuture<Void> open = early.start((now, site, out) -> (at, events) -> {}).toCompletionStage()
         .toCompletableFuture();
