--- a/src/main/java/saltlatch/node/Pilot.java
+++ b/src/main/java/saltlatch/node/Pilot.java
@@ -23,7 +23,7 @@
 import saltlatch.wire.CounterClient;
 import saltlatch.wire.Desk;
 import saltlatch.wire.Discovery;
-import saltlatch.wire.Door;
+import saltlatch.wire.ClientListener;
 import saltlatch.wire.Ending;
 import saltlatch.wire.MemberForm;
 import saltlatch.wire.Peers;
@@ -39,7 +39,7 @@
     implements
       Actions,
       Desk,
-      Door.Host,
+      ClientListener.Host,
       AppServers.Host,
       CounterClient.Host,
       Discovery.Host,
--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -21,7 +21,7 @@
 import saltlatch.state.Counters;
 import saltlatch.state.Counters.Count;
 import saltlatch.state.HeapFull;
-import saltlatch.wire.Door;
+import saltlatch.wire.ClientListener;
 
 /** Start and stop of one edge node. */
 public final class Serve {
@@ -38,7 +38,7 @@
   private final NodeConfiguration configuration;
   private final Counters counters = new Counters();
   private final Pilot pilot;
-  private final Door door;
+  private final ClientListener listener;
   private final History history; // null: the configuration names no directory for it
   private final Promise<Void> begun = Promise.promise(); // what a new configuration changes is there
   private boolean stopping;
@@ -54,7 +54,7 @@
     if (history != null) history.add("started", "nodes", configuration.site().nodes());
     pilot = new Pilot(vertx, loop, configuration, counters,
         configuration.memoryMb() * 1024L * 1024 / BYTES_PART, history);
-    door = new Door(vertx, pilot, pilot, counters, configuration.clientLinks());
+    listener = new ClientListener(vertx, pilot, pilot, counters, configuration.clientLinks());
   }
 
   private static VertxOptions options() {
@@ -149,9 +149,9 @@
         open.fail(e);
         return;
       }
-      door.open(configuration.listen()).onFailure(open::fail).onSuccess(done -> {
+      listener.open(configuration.listen()).onFailure(open::fail).onSuccess(done -> {
         if (stopping) return; // it never was ready: nobody counts on it
-        door.ready();
+        listener.ready();
         LOG.info("{} serves on {}", configuration.name(), configuration.listen());
         if (history != null) history.add("ready");
         open.complete();
@@ -171,7 +171,7 @@
   }
 
   int port() {
-    return door.port();
+    return listener.port();
   }
 
   /**
@@ -193,16 +193,16 @@
     Promise<Void> done = Promise.promise();
     loop.runOnContext(v -> {
       stopping = true;
-      vertx.setTimer(turn, t -> door.closeWhenAnswered());
+      vertx.setTimer(turn, t -> listener.closeWhenAnswered());
       vertx.setTimer(end, t -> {
-        door.refuse();
+        listener.refuse();
         pilot.leave();
       });
       vertx.setPeriodic(LATE_MS, LOOK_MS, look -> {
-        if (door.isRefusing()) door.closeIdle(); // also those that came since the last look
-        if (door.links() > 0) return;
+        if (listener.isRefusing()) listener.closeIdle(); // also those that came since the last look
+        if (listener.links() > 0) return;
         vertx.cancelTimer(look);
-        door.refuse(); // what comes while all is being closed is not sent on
+        listener.refuse(); // what comes while all is being closed is not sent on
         pilot.leave();
         done.complete();
       });
--- a/src/main/java/saltlatch/state/Exchanges.java
+++ b/src/main/java/saltlatch/state/Exchanges.java
@@ -6,7 +6,7 @@
 import java.util.Set;
 import saltlatch.wire.Request;
 
-/** The reqs that are not over or have a dispatch out, by the number each got at the door. */
+/** The reqs that are not over or have a dispatch out, by the number each got at the listener. */
 public final class Exchanges {
   private static final int OWN_BYTES = 1024; // that the node and the module hold for a req beside its command
 
--- a/src/main/java/saltlatch/wire/ClientLink.java
+++ b/src/main/java/saltlatch/wire/ClientLink.java
@@ -22,19 +22,19 @@
 
     @Override
     public void passed(byte[] value) {
-      door.counters().add(Count.ANSWERED_PASSED);
+      listener.counters().add(Count.ANSWERED_PASSED);
       fill(Answer.passed(value));
     }
 
     @Override
     public void denied(long pauseMs) {
-      door.counters().add(Count.ANSWERED_DENIED);
+      listener.counters().add(Count.ANSWERED_DENIED);
       fill(Answer.line(pauseMs > 0 ? "-BUSY " + pauseMs : "-BUSY"));
     }
 
     @Override
     public void aborted() {
-      door.counters().add(Count.ANSWERED_ABORTED);
+      listener.counters().add(Count.ANSWERED_ABORTED);
       fill(Answer.line("-ERR aborted"));
     }
 
@@ -54,7 +54,7 @@
     }
   }
 
-  private final Door door;
+  private final ClientListener listener;
   private final NetSocket socket;
   private final RespReader in = new RespReader();
   private final ArrayDeque<Place> owed = new ArrayDeque<>();
@@ -65,12 +65,12 @@
   private int crossed; // bytes that came after this side's end
   private long usedAt; // acceptance, the last whole command, or the first byte of the next one
 
-  ClientLink(Door door, NetSocket socket) {
-    this.door = door;
+  ClientLink(ClientListener listener, NetSocket socket) {
+    this.listener = listener;
     this.socket = socket;
-    usedAt = door.desk().now();
+    usedAt = listener.desk().now();
     socket.handler(this::read);
-    socket.exceptionHandler(e -> door.counters().add(Count.CLIENTS_BROKEN));
+    socket.exceptionHandler(e -> listener.counters().add(Count.CLIENTS_BROKEN));
     socket.closeHandler(v -> ended());
     socket.drainHandler(v -> resume());
   }
@@ -86,7 +86,7 @@
   /** At once: whatever is unread makes the system reset the connection, and the client sends that again elsewhere. */
   void close() {
     closed = true;
-    door.gone(this);
+    listener.gone(this);
     Closing.atOnce(socket);
   }
 
@@ -97,8 +97,8 @@
    */
   private void linger() {
     closed = true;
-    door.lingers(this);
-    endsWithin(door.isRefusing() ? LINGER : UNTAKEN);
+    listener.lingers(this);
+    endsWithin(listener.isRefusing() ? LINGER : UNTAKEN);
     socket.handler(more -> {
       crossed += more.length();
       if (crossed > LINGER_BYTES) Closing.atOnce(socket);
@@ -117,13 +117,13 @@
   }
 
   private void endsWithin(long time) {
-    door.desk().at(door.desk().now() + time, () -> Closing.atOnce(socket));
+    listener.desk().at(listener.desk().now() + time, () -> Closing.atOnce(socket));
   }
 
   /** Ends it if it has sent no whole command, or half of one, since long before. */
   void closeIfMute(long since) {
     if (closed || usedAt > since || !owed.isEmpty() || spoke && in.isEmpty()) return;
-    door.counters().add(Count.CLIENTS_MUTE);
+    listener.counters().add(Count.CLIENTS_MUTE);
     broken = true;
     if (in.isEmpty()) close();
     else say("-ERR command incomplete");
@@ -134,23 +134,23 @@
   }
 
   void abandon() {
-    List.copyOf(owed).stream().filter(Place::waits).forEach(place -> door.host().abandon(place.x));
+    List.copyOf(owed).stream().filter(Place::waits).forEach(place -> listener.host().abandon(place.x));
   }
 
   private void read(Buffer more) {
     if (broken || closed) return;
-    if (in.isEmpty()) usedAt = door.desk().now();
+    if (in.isEmpty()) usedAt = listener.desk().now();
     in.feed(more);
     reading = true;
     try {
       for (Resp command = in.next(); command != null; command = in.next()) {
-        usedAt = door.desk().now();
+        usedAt = listener.desk().now();
         spoke = true;
-        door.spoke(this);
+        listener.spoke(this);
         take(command);
       }
     } catch (RespReader.Lost e) {
-      door.counters().add(Count.COMMANDS_LOST_FRAMING);
+      listener.counters().add(Count.COMMANDS_LOST_FRAMING);
       broken = true;
       say("-ERR Protocol error: " + e.getMessage());
     }
@@ -166,24 +166,24 @@
     if (verb.startsWith("SVC.")) {
       serve(Request.of(words));
     } else if (verb.equalsIgnoreCase("PING")) {
-      say(door.isReady() ? "+PONG" : "-ERR not ready");
+      say(listener.isReady() ? "+PONG" : "-ERR not ready");
     } else if (verb.equalsIgnoreCase("INFO")) {
-      place().fill(Answer.passed(door.host().figures().getBytes(StandardCharsets.ISO_8859_1)));
+      place().fill(Answer.passed(listener.host().figures().getBytes(StandardCharsets.ISO_8859_1)));
     } else {
-      door.counters().add(Count.COMMANDS_UNKNOWN);
+      listener.counters().add(Count.COMMANDS_UNKNOWN);
       say("-ERR unknown command");
     }
   }
 
   private void serve(Request req) {
     if (req == null) {
-      door.counters().add(Count.COMMANDS_MALFORMED);
+      listener.counters().add(Count.COMMANDS_MALFORMED);
       say("-ERR malformed command");
       return;
     }
     Place place = place();
-    if (door.isRefusing()) place.denied(0);
-    else place.x = door.host().arrived(req, place);
+    if (listener.isRefusing()) place.denied(0);
+    else place.x = listener.host().arrived(req, place);
   }
 
   private Place place() {
@@ -206,7 +206,7 @@
   /** Guards, while this node ends, against commands that were read with the one just answered: they get their answers too. */
   private void endIfDue() {
     if (closed || reading || !owed.isEmpty()) return;
-    if (broken || door.isClosing() && in.isEmpty()) linger();
+    if (broken || listener.isClosing() && in.isEmpty()) linger();
   }
 
   private void resume() {
@@ -217,9 +217,9 @@
 
   private void ended() {
     closed = true;
-    door.ended(this);
+    listener.ended(this);
     for (Place place : owed) {
-      if (place.waits()) door.host().left(place.x);
+      if (place.waits()) listener.host().left(place.x);
     }
     owed.clear();
   }
--- a/src/main/java/saltlatch/wire/Door.java
+++ b/src/main/java/saltlatch/wire/ClientListener.java
@@ -15,7 +15,7 @@
 import saltlatch.state.Exchange;
 
 /** The server side: clients' connections, their commands in and the answers out. */
-public final class Door {
+public final class ClientListener {
   /** Whom reqs are handed to. */
   public interface Host {
     /** Null when the req was answered at once, since it can't be taken. */
@@ -46,7 +46,7 @@
   private boolean closing;
   private boolean refusing;
 
-  public Door(Vertx vertx, Desk desk, Host host, Counters counters, int mostLinks) {
+  public ClientListener(Vertx vertx, Desk desk, Host host, Counters counters, int mostLinks) {
     this.desk = desk;
     this.host = host;
     this.counters = counters;
--- a/src/test/java/saltlatch/node/ShutdownTest.java
+++ b/src/test/java/saltlatch/node/ShutdownTest.java
@@ -81,7 +81,7 @@
     }
     done.get(5, TimeUnit.SECONDS);
     long arrived = seen.stream().filter(text -> text.startsWith("arrived")).count();
-    assertTrue(arrived <= answered, arrived + " read and " + answered + " answered"); // the last ones the door denies itself
+    assertTrue(arrived <= answered, arrived + " read and " + answered + " answered"); // the last ones the listener denies itself
   }
 
   /** Answers that a client has not taken yet when the end comes still reach it, whole, before its connection ends. */
