--- a/src/main/java/saltlatch/wire/ClientLink.java
+++ b/src/main/java/saltlatch/wire/ClientLink.java
@@ -16,7 +16,7 @@
   private static final int LINGER_BYTES = 128 * 1024; // of what crosses: two of the longest commands
 
   /** The place of one command's answer in the order. */
-  private final class Place implements Exchange.Client {
+  private final class PendingReply implements Exchange.Client {
     private Exchange x;
     private Buffer answer;
 
@@ -57,7 +57,7 @@
   private final ClientListener listener;
   private final NetSocket socket;
   private final RespReader in = new RespReader();
-  private final ArrayDeque<Place> owed = new ArrayDeque<>();
+  private final ArrayDeque<PendingReply> owed = new ArrayDeque<>();
   private boolean broken; // its framing is lost: nothing more is read
   private boolean closed;
   private boolean reading; // what came is being taken, command by command
@@ -134,7 +134,8 @@
   }
 
   void abandon() {
-    List.copyOf(owed).stream().filter(Place::waits).forEach(place -> listener.host().abandon(place.x));
+    List.copyOf(owed).stream().filter(PendingReply::waits)
+        .forEach(pendingReply -> listener.host().abandon(pendingReply.x));
   }
 
   private void read(Buffer more) {
@@ -168,7 +169,7 @@
     } else if (verb.equalsIgnoreCase("PING")) {
       say(listener.isReady() ? "+PONG" : "-ERR not ready");
     } else if (verb.equalsIgnoreCase("INFO")) {
-      place().fill(Answer.passed(listener.host().figures().getBytes(StandardCharsets.ISO_8859_1)));
+      pendingReply().fill(Answer.passed(listener.host().figures().getBytes(StandardCharsets.ISO_8859_1)));
     } else {
       listener.counters().add(Count.COMMANDS_UNKNOWN);
       say("-ERR unknown command");
@@ -181,19 +182,19 @@
       say("-ERR malformed command");
       return;
     }
-    Place place = place();
-    if (listener.isRefusing()) place.denied(0);
-    else place.x = listener.host().arrived(req, place);
+    PendingReply pendingReply = pendingReply();
+    if (listener.isRefusing()) pendingReply.denied(0);
+    else pendingReply.x = listener.host().arrived(req, pendingReply);
   }
 
-  private Place place() {
-    Place place = new Place();
-    owed.add(place);
-    return place;
+  private PendingReply pendingReply() {
+    PendingReply pendingReply = new PendingReply();
+    owed.add(pendingReply);
+    return pendingReply;
   }
 
   private void say(String line) {
-    place().fill(Answer.line(line));
+    pendingReply().fill(Answer.line(line));
   }
 
   private void flush() {
@@ -218,8 +219,8 @@
   private void ended() {
     closed = true;
     listener.ended(this);
-    for (Place place : owed) {
-      if (place.waits()) listener.host().left(place.x);
+    for (PendingReply pendingReply : owed) {
+      if (pendingReply.waits()) listener.host().left(pendingReply.x);
     }
     owed.clear();
   }
