--- a/src/main/java/saltlatch/node/ListApplier.java
+++ b/src/main/java/saltlatch/node/ListApplier.java
@@ -4,7 +4,7 @@
 import java.util.Queue;
 import java.util.function.Consumer;
 import saltlatch.api.Event;
-import saltlatch.wire.Desk;
+import saltlatch.wire.Scheduler;
 import saltlatch.wire.Discovery;
 import saltlatch.wire.TargetList;
 
@@ -17,14 +17,14 @@
   private record Pending(TargetList list, Runnable applied) {}
 
   private final TargetDirectory directory;
-  private final Desk desk;
+  private final Scheduler scheduler;
   private final Consumer<Event> module;
   private final Queue<Pending> pending = new ArrayDeque<>();
   private SlicedUpdate update; // of the first one pending; null: none is being applied
 
-  ListApplier(TargetDirectory directory, Desk desk, Consumer<Event> module) {
+  ListApplier(TargetDirectory directory, Scheduler scheduler, Consumer<Event> module) {
     this.directory = directory;
-    this.desk = desk;
+    this.scheduler = scheduler;
     this.module = module;
   }
 
@@ -57,7 +57,8 @@
       slice(first);
     }
     // Behind the module's turn, so that no two slices fall into one batch.
-    if (!pending.isEmpty()) desk.afterTurn(() -> desk.at(desk.now() + Discovery.SLICE_PAUSE, this::turn));
+    if (!pending.isEmpty())
+      scheduler.afterTurn(() -> scheduler.at(scheduler.now() + Discovery.SLICE_PAUSE, this::turn));
   }
 
   private void slice(Pending first) {
--- a/src/main/java/saltlatch/node/Pilot.java
+++ b/src/main/java/saltlatch/node/Pilot.java
@@ -21,7 +21,7 @@
 import saltlatch.wire.Answer;
 import saltlatch.wire.AppServers;
 import saltlatch.wire.CounterClient;
-import saltlatch.wire.Desk;
+import saltlatch.wire.Scheduler;
 import saltlatch.wire.Discovery;
 import saltlatch.wire.ClientListener;
 import saltlatch.wire.Ending;
@@ -38,7 +38,7 @@
 final class Pilot
     implements
       Actions,
-      Desk,
+      Scheduler,
       ClientListener.Host,
       AppServers.Host,
       CounterClient.Host,
--- a/src/main/java/saltlatch/node/Roster.java
+++ b/src/main/java/saltlatch/node/Roster.java
@@ -11,7 +11,7 @@
 import saltlatch.member.Shares;
 import saltlatch.member.Standing;
 import saltlatch.member.Terms;
-import saltlatch.wire.Desk;
+import saltlatch.wire.Scheduler;
 import saltlatch.wire.MemberForm;
 import saltlatch.wire.Peers;
 
@@ -20,7 +20,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Roster.class);
   private static final long SECOND = 10_000; // tenths of a ms
 
-  private final Desk desk;
+  private final Scheduler scheduler;
   private final Peers peers;
   private final History history; // null: none is kept
   private final Consumer<Event> module;
@@ -31,13 +31,14 @@
   private Standing standing;
   private String share = "";
 
-  Roster(Desk desk, Peers peers, History history, NodeConfiguration configuration, Consumer<Event> module) {
-    this.desk = desk;
+  Roster(Scheduler scheduler, Peers peers, History history, NodeConfiguration configuration,
+      Consumer<Event> module) {
+    this.scheduler = scheduler;
     this.peers = peers;
     this.history = history;
     this.module = module;
     terms = Terms.of(configuration.site().nodes(), configuration.site().peers().intake());
-    long now = desk.now();
+    long now = scheduler.now();
     shares = new Shares(configuration.site().peers().me(), terms.members());
     membership = new Membership(terms, configuration.site().peers().me(), now / SECOND,
         configuration.site().seed(), now, this);
@@ -46,17 +47,17 @@
   }
 
   private void tick() {
-    membership.tick(desk.now());
+    membership.tick(scheduler.now());
     look();
-    desk.at(desk.now() + Terms.tick(), this::tick);
+    scheduler.at(scheduler.now() + Terms.tick(), this::tick);
   }
 
   /** A peer's datagram; the clock is seen first, so that one that was away knows it before it hears anything. */
   void heard(int from, byte[] bytes) {
     Message m = MemberForm.read(bytes);
     if (m == null) return;
-    membership.tick(desk.now());
-    membership.heard(desk.now(), from, m);
+    membership.tick(scheduler.now());
+    membership.heard(scheduler.now(), from, m);
     look();
   }
 
@@ -75,8 +76,8 @@
       shares.follow(now);
       told = now;
     }
-    shareIs(desk.now() < now.takesUntil() && now.lives().contains(Event.Life.GONE) ? "more"
-        : desk.now() < now.holdsUntil() ? "whole" : "floor", changed);
+    shareIs(scheduler.now() < now.takesUntil() && now.lives().contains(Event.Life.GONE) ? "more"
+        : scheduler.now() < now.holdsUntil() ? "whole" : "floor", changed);
     Standing is = membership.standing();
     if (is == standing) return;
     standing = is;
@@ -91,7 +92,7 @@
   private void shareIs(String is, boolean changed) {
     if (!is.equals(share)) LOG.info("share {}", is);
     if (history != null && (changed || !is.equals(share))) {
-      long now = desk.now();
+      long now = scheduler.now();
       history.add("share", "is", is, "part", shares.own(now, 0, terms.members()), "whole",
           1.0 / terms.members(), "floor", shares.own(Long.MAX_VALUE, 0, terms.members()), "holds_ms",
           left(told.holdsUntil()), "takes_ms", left(told.takesUntil()));
@@ -100,7 +101,7 @@
   }
 
   private long left(long until) {
-    return Math.max(0, Math.min(terms.lease(), until - desk.now())) / 10;
+    return Math.max(0, Math.min(terms.lease(), until - scheduler.now())) / 10;
   }
 
   /** Lines for INFO; times in ms. */
--- a/src/main/java/saltlatch/wire/AppLink.java
+++ b/src/main/java/saltlatch/wire/AppLink.java
@@ -45,7 +45,7 @@
       socket.handler(this::read);
       socket.exceptionHandler(e -> owner.counters().add(Count.CONNECTIONS_BROKEN));
       socket.closeHandler(v -> end(Answer.none(written ? Ending.BROKE_WRITTEN : Ending.BROKE_UNWRITTEN)));
-      owner.desk().afterTurn(this::begin);
+      owner.scheduler().afterTurn(this::begin);
     });
   }
 
@@ -66,8 +66,8 @@
     out = true;
     written = false;
     unsent = command;
-    sent = owner.desk().now();
-    limit = owner.desk().at(sent + cap,
+    sent = owner.scheduler().now();
+    limit = owner.scheduler().at(sent + cap,
         () -> end(Answer.none(written ? Ending.TIMED_OUT : Ending.TIMED_OUT_UNWRITTEN)));
     if (socket != null) write();
   }
@@ -96,7 +96,8 @@
       Resp resp = in.next();
       if (resp == null) {
         // Guards against an answer whose length is wrong, which would hold its req until the client timeout.
-        if (rest == null) rest = owner.desk().at(owner.desk().now() + owner.restTime(), () -> end(SPOILT));
+        if (rest == null)
+          rest = owner.scheduler().at(owner.scheduler().now() + owner.restTime(), () -> end(SPOILT));
         return;
       }
       // Guards against an answer that is taken for that of the next dispatch: what comes behind one was not asked for.
@@ -129,6 +130,6 @@
     limit.drop();
     if (rest != null) rest.drop();
     rest = null;
-    owner.ended(this, open, was, dispatch, answer, owner.desk().now() - sent);
+    owner.ended(this, open, was, dispatch, answer, owner.scheduler().now() - sent);
   }
 }
--- a/src/main/java/saltlatch/wire/AppServers.java
+++ b/src/main/java/saltlatch/wire/AppServers.java
@@ -48,7 +48,7 @@
   private static final long SWEEP = 5_000; // 0.5 s between looks for idle connections
 
   private final NetClient client;
-  private final Desk desk;
+  private final Scheduler scheduler;
   private final Host host;
   private final Counters counters;
   private final List<Srv> srvs = new ArrayList<>(); // by number; null: none has it
@@ -59,9 +59,9 @@
   private int links;
 
   /** {@code idleTime}: an app srv closes a connection that has stood idle for so long. */
-  public AppServers(Vertx vertx, Desk desk, Host host, Counters counters, long connectTime, long idleTime,
-      int mostLinks) {
-    this.desk = desk;
+  public AppServers(Vertx vertx, Scheduler scheduler, Host host, Counters counters, long connectTime,
+      long idleTime, int mostLinks) {
+    this.scheduler = scheduler;
     this.host = host;
     this.counters = counters;
     this.mostLinks = mostLinks;
@@ -143,7 +143,7 @@
     Srv s = find(srv);
     if (s == null) return null;
     // Guards against a second copy or noise right behind an answer that is taken for that of the next dispatch.
-    AppLink link = s.links == null ? null : s.links.pool.take(desk.now() - SETTLING);
+    AppLink link = s.links == null ? null : s.links.pool.take(scheduler.now() - SETTLING);
     if (link == null) {
       if (links >= mostLinks && !closeOldest()) return null;
       links++;
@@ -169,9 +169,9 @@
 
   private void sweep() {
     for (Srv s : List.copyOf(linked)) {
-      if (s.links != null) closeOlder(s, desk.now() - idleTime);
+      if (s.links != null) closeOlder(s, scheduler.now() - idleTime);
     }
-    desk.at(desk.now() + SWEEP, this::sweep);
+    scheduler.at(scheduler.now() + SWEEP, this::sweep);
   }
 
   boolean mayBegin(Exchange x, int dispatch) {
@@ -183,8 +183,8 @@
     return connectTime;
   }
 
-  Desk desk() {
-    return desk;
+  Scheduler scheduler() {
+    return scheduler;
   }
 
   Counters counters() {
@@ -195,7 +195,7 @@
   void ended(AppLink link, boolean open, Exchange x, int dispatch, Answer answer, long spent) {
     Srv s = find(link.srv);
     s.links.busy.remove(link);
-    if (open) s.links.pool.put(link, desk.now());
+    if (open) s.links.pool.put(link, scheduler.now());
     settle(s);
     counters
         .add(answer.ending() == Ending.ANSWERED ? Count.DISPATCHES_PASSED : Count.DISPATCHES_ENDED_OTHERWISE);
--- a/src/main/java/saltlatch/wire/ClientLink.java
+++ b/src/main/java/saltlatch/wire/ClientLink.java
@@ -68,7 +68,7 @@
   ClientLink(ClientListener listener, NetSocket socket) {
     this.listener = listener;
     this.socket = socket;
-    usedAt = listener.desk().now();
+    usedAt = listener.scheduler().now();
     socket.handler(this::read);
     socket.exceptionHandler(e -> listener.counters().add(Count.CLIENTS_BROKEN));
     socket.closeHandler(v -> ended());
@@ -117,7 +117,7 @@
   }
 
   private void endsWithin(long time) {
-    listener.desk().at(listener.desk().now() + time, () -> Closing.atOnce(socket));
+    listener.scheduler().at(listener.scheduler().now() + time, () -> Closing.atOnce(socket));
   }
 
   /** Ends it if it has sent no whole command, or half of one, since long before. */
@@ -140,12 +140,12 @@
 
   private void read(Buffer more) {
     if (broken || closed) return;
-    if (in.isEmpty()) usedAt = listener.desk().now();
+    if (in.isEmpty()) usedAt = listener.scheduler().now();
     in.feed(more);
     reading = true;
     try {
       for (Resp command = in.next(); command != null; command = in.next()) {
-        usedAt = listener.desk().now();
+        usedAt = listener.scheduler().now();
         spoke = true;
         listener.spoke(this);
         take(command);
--- a/src/main/java/saltlatch/wire/ClientListener.java
+++ b/src/main/java/saltlatch/wire/ClientListener.java
@@ -37,7 +37,7 @@
   private final Counters counters;
   private final NetServer server;
   private final int mostLinks;
-  private final Desk desk;
+  private final Scheduler scheduler;
   private final Set<ClientLink> silent = new LinkedHashSet<>(); // no whole command yet, oldest first
   private final Set<ClientLink> known = new LinkedHashSet<>(); // the one that spoke last comes last
   private final Set<ClientLink> ending = new LinkedHashSet<>(); // wait for their client's end, for an instant; oldest first
@@ -46,8 +46,8 @@
   private boolean closing;
   private boolean refusing;
 
-  public ClientListener(Vertx vertx, Desk desk, Host host, Counters counters, int mostLinks) {
-    this.desk = desk;
+  public ClientListener(Vertx vertx, Scheduler scheduler, Host host, Counters counters, int mostLinks) {
+    this.scheduler = scheduler;
     this.host = host;
     this.counters = counters;
     this.mostLinks = mostLinks;
@@ -122,8 +122,8 @@
     return all;
   }
 
-  Desk desk() {
-    return desk;
+  Scheduler scheduler() {
+    return scheduler;
   }
 
   void spoke(ClientLink link) {
@@ -150,8 +150,8 @@
 
   /** Guards against connections that say nothing, or half a command and no more: they are owed an end within 3 s. */
   private void sweep() {
-    all().forEach(link -> link.closeIfMute(desk.now() - MUTE));
-    desk.at(desk.now() + SWEEP, this::sweep);
+    all().forEach(link -> link.closeIfMute(scheduler.now() - MUTE));
+    scheduler.at(scheduler.now() + SWEEP, this::sweep);
   }
 
   /**
@@ -163,7 +163,7 @@
     if (!ending.isEmpty()) return ending.iterator().next();
     ClientLink idle = known.stream().filter(ClientLink::owesNothing).findFirst().orElse(null);
     ClientLink mute = silent.isEmpty() ? null : silent.iterator().next();
-    if (idle != null && idle.usedAt() <= desk.now() - MUTE) return idle;
+    if (idle != null && idle.usedAt() <= scheduler.now() - MUTE) return idle;
     return mute != null ? mute : idle;
   }
 
--- a/src/main/java/saltlatch/wire/CounterClient.java
+++ b/src/main/java/saltlatch/wire/CounterClient.java
@@ -38,16 +38,16 @@
 
   private final NetClient client;
   private SocketAddress address;
-  private final Desk desk;
+  private final Scheduler scheduler;
   private final Host host;
   private final Counters counters;
   private final long limit;
   private final Link[] links = new Link[LINKS];
 
-  public CounterClient(Vertx vertx, SocketAddress address, Desk desk, Host host, Counters counters,
+  public CounterClient(Vertx vertx, SocketAddress address, Scheduler scheduler, Host host, Counters counters,
       long limit) {
     this.address = address;
-    this.desk = desk;
+    this.scheduler = scheduler;
     this.host = host;
     this.counters = counters;
     this.limit = limit;
@@ -84,10 +84,10 @@
 
   private void sweep() {
     for (Link link : links) {
-      if (link != null && (link.calls.isEmpty() && desk.now() - link.usedAt > IDLE || link.isStuck()))
+      if (link != null && (link.calls.isEmpty() && scheduler.now() - link.usedAt > IDLE || link.isStuck()))
         link.end();
     }
-    desk.at(desk.now() + SWEEP, this::sweep);
+    scheduler.at(scheduler.now() + SWEEP, this::sweep);
   }
 
   private final class Link {
@@ -105,7 +105,7 @@
     Link(int at, Link before) {
       this.at = at;
       this.before = before;
-      usedAt = desk.now();
+      usedAt = scheduler.now();
       client.connect(address).onComplete(done -> {
         if (done.failed()) {
           end();
@@ -139,16 +139,16 @@
     /** Its oldest call is long overdue: the counter has gone silent, or this connection has. */
     boolean isStuck() {
       if (calls.isEmpty()) return false;
-      return desk.now() - calls.peek().sent > Math.max(STUCK * limit, STUCK_CAPS * calls.peek().cap);
+      return scheduler.now() - calls.peek().sent > Math.max(STUCK * limit, STUCK_CAPS * calls.peek().cap);
     }
 
     void call(long name, long cap, String text) {
       Call c = new Call();
       c.name = name;
-      c.sent = desk.now();
+      c.sent = scheduler.now();
       c.cap = cap;
       c.text = Buffer.buffer(text);
-      c.limit = desk.at(c.sent + cap, () -> {
+      c.limit = scheduler.at(c.sent + cap, () -> {
         tell(c, c.written ? Ending.TIMED_OUT : Ending.TIMED_OUT_UNWRITTEN, 0);
         if (length > 0) end(); // half a line for so long is none: nothing behind it would be answered
       });
@@ -205,7 +205,7 @@
       c.told = true;
       c.limit.drop();
       counters.add(ending == Ending.ANSWERED ? Count.COUNTS_ANSWERED : Count.COUNTS_ENDED_OTHERWISE);
-      host.counted(c.name, ending, total, desk.now() - c.sent);
+      host.counted(c.name, ending, total, scheduler.now() - c.sent);
       if (retired && !owes()) end();
     }
 
--- a/src/main/java/saltlatch/wire/Discovery.java
+++ b/src/main/java/saltlatch/wire/Discovery.java
@@ -49,7 +49,7 @@
   private final Vertx vertx;
   private HttpClient client; // made when first used, which is after the node serves
   private SocketAddress address;
-  private final Desk desk;
+  private final Scheduler scheduler;
   private final Host host;
   private final Counters counters;
   private long series; // of the newest list taken
@@ -66,10 +66,10 @@
   private long openedAt = Long.MIN_VALUE / 2;
   private int turn; // of the watches, so that what comes late from an ended one is passed over
 
-  public Discovery(Vertx vertx, SocketAddress address, Desk desk, Host host, Counters counters,
+  public Discovery(Vertx vertx, SocketAddress address, Scheduler scheduler, Host host, Counters counters,
       TargetList known) {
     this.address = address;
-    this.desk = desk;
+    this.scheduler = scheduler;
     this.host = host;
     this.counters = counters;
     series = known.series();
@@ -81,7 +81,7 @@
   public void follow() {
     stop();
     int mine = ++turn;
-    limit = desk.at(Math.max(desk.now(), Math.max(openedAt + APART, notBefore)), () -> open(mine));
+    limit = scheduler.at(Math.max(scheduler.now(), Math.max(openedAt + APART, notBefore)), () -> open(mine));
   }
 
   /** The list is asked for at another address from now on; a watch that is on goes on there, at once. */
@@ -113,7 +113,7 @@
       client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout((int) BEGINS / 10)
           .setDecompressionSupported(false).setIdleTimeout(0));
     }
-    openedAt = desk.now();
+    openedAt = scheduler.now();
     counters.add(Count.WATCHES);
     expect(mine, BEGINS);
     client.request(HttpMethod.GET, address.port(), address.host(), path()).onComplete(made -> {
@@ -175,14 +175,14 @@
     if (readInRow < READ_AT_ONCE) return;
     readInRow = 0;
     response.pause();
-    desk.at(desk.now() + READ_PAUSE, () -> {
+    scheduler.at(scheduler.now() + READ_PAUSE, () -> {
       if (mine == turn) response.resume();
     });
   }
 
   private void refuse(String why, int mine) {
     refusedPause = Math.min(REFUSED_MOST, refusedPause == 0 ? REFUSED_FIRST : 2 * refusedPause);
-    notBefore = desk.now() + refusedPause;
+    notBefore = scheduler.now() + refusedPause;
     counters.add(Count.LISTS_REFUSED);
     LOG.warn("list refused, asked for again in {} s: {}", refusedPause / 10_000, why);
     broke(mine, new IllegalStateException("a list too large"));
@@ -220,7 +220,7 @@
 
   private void expect(int mine, long within) {
     if (limit != null) limit.drop();
-    limit = desk.at(desk.now() + within, () -> broke(mine, null));
+    limit = scheduler.at(scheduler.now() + within, () -> broke(mine, null));
   }
 
   private void broke(int mine, Throwable why) {
--- a/src/test/java/saltlatch/wire/DiscoveryTest.java
+++ b/src/test/java/saltlatch/wire/DiscoveryTest.java
@@ -32,7 +32,7 @@
   private static final String READY = "{\"name\":\"s-1\",\"address\":\"127.0.0.1:9\",\"status\":\"Ready\"}";
 
   /** A clock and timers that move by hand; what is asked of them is told, in tenths of a ms from then. */
-  private final class ManualDesk implements Desk {
+  private final class ManualDesk implements Scheduler {
     private final Timers timers = new Timers();
     private long now = 1_000_000;
 
@@ -72,7 +72,7 @@
   private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
   private final BlockingQueue<Runnable> toApply = new LinkedBlockingQueue<>();
   private final List<Socket> sockets = new ArrayList<>();
-  private final ManualDesk desk = new ManualDesk();
+  private final ManualDesk scheduler = new ManualDesk();
   private final Counters counters = new Counters();
   private volatile boolean appliesAtOnce = true;
   private Vertx vertx;
@@ -87,8 +87,8 @@
     loop = vertx.getOrCreateContext();
     agent = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
     agent.setSoTimeout(20_000);
-    discovery = new Discovery(vertx, SocketAddress.inetSocketAddress(agent.getLocalPort(), "127.0.0.1"), desk,
-        new Follower(), counters, new TargetList(0, 1, true, List.of()));
+    discovery = new Discovery(vertx, SocketAddress.inetSocketAddress(agent.getLocalPort(), "127.0.0.1"),
+        scheduler, new Follower(), counters, new TargetList(0, 1, true, List.of()));
     onLoop(discovery::follow);
     next("at 0");
   }
@@ -111,8 +111,8 @@
 
   private void pass(long tenths) throws Exception {
     onLoop(() -> {
-      desk.now += tenths;
-      desk.timers.run(desk.now);
+      scheduler.now += tenths;
+      scheduler.timers.run(scheduler.now);
     });
   }
 
