Two crossing tests wait until the client's close has reached the node

Cause: the test let the held node go on right after close(), which the system had not yet delivered to the node's socket. Change: closeAndAwaitEnd looks in /proc/net/tcp until the node's side stands in CLOSE_WAIT; what is asserted is the same.

--- a/src/test/java/saltlatch/node/CrossingTest.java
+++ b/src/test/java/saltlatch/node/CrossingTest.java
@@ -75,7 +75,7 @@
     Socket c = client();
     say(c, req(0));
     assertTrue(hold.begun.await(20, TimeUnit.SECONDS));
-    c.close();
+    closeAndAwaitEnd(c);
     hold.over.countDown();
     assertEquals("closed", line(accept(appSrv)));
     assertEquals("arrived 0 waits 900 left 0 ended 0/0 WITHDRAWN over", next() + " " + next() + " " + next());
@@ -94,7 +94,7 @@
     say(first, req(0));
     assertTrue(hold.begun.await(20, TimeUnit.SECONDS));
     say(second, req(1));
-    second.close();
+    closeAndAwaitEnd(second);
     hold.over.countDown();
     assertEquals("-BUSY", line(first));
     List<String> batch = batches.poll(20, TimeUnit.SECONDS);
--- a/src/test/java/saltlatch/node/NodeHarness.java
+++ b/src/test/java/saltlatch/node/NodeHarness.java
@@ -14,10 +14,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import saltlatch.api.Actions;
@@ -30,6 +32,8 @@
  * the counter and discovery, each in its turn, so that nothing races.
  */
 abstract class NodeHarness {
+  private static final String CLOSE_WAIT = "08"; // Linux' number of the state in /proc/net/tcp
+
   final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
   final List<Socket> sockets = new ArrayList<>();
   ServerSocket appSrv;
@@ -132,6 +136,33 @@
     return s;
   }
 
+  /**
+   * Closes a client's connection and returns once its end has reached the node's socket: on a busy machine the system
+   * delivers it some time after the close, and a node that is held until then must find it there.
+   */
+  void closeAndAwaitEnd(Socket client) throws IOException, InterruptedException {
+    int port = client.getLocalPort();
+    client.close();
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+    while (!isEndAtNode(port)) {
+      if (System.nanoTime() > end) throw new IOException("the close did not reach the node");
+      Thread.sleep(1);
+    }
+  }
+
+  /** Whether the system lists the node's side of a client's connection as closed by the client. */
+  private boolean isEndAtNode(int clientPort) throws IOException {
+    String ends = String.format(Locale.ROOT, ":%04X [0-9A-F]+:%04X %s .*", node.port(), clientPort,
+        CLOSE_WAIT);
+    Pattern connection = Pattern.compile(ends);
+    for (String table : List.of("/proc/net/tcp", "/proc/net/tcp6")) {
+      for (String row : Files.readAllLines(Path.of(table))) {
+        if (connection.matcher(row).find()) return true;
+      }
+    }
+    return false;
+  }
+
   Socket client() throws IOException {
     Socket s = new Socket("127.0.0.1", node.port());
     s.setSoTimeout(20_000);
