saltlatch.distribution: the decisions of a relay, first working state

The interface stood without code; the relay's adapter needs a Distributor to build on. Replica with its bounded log, watchers and positions, admission of whole lists, choice of upstream.

--- a/src/main/java/saltlatch/distribution/Distributor.java
+++ b/src/main/java/saltlatch/distribution/Distributor.java
@@ -15,46 +15,124 @@
     MALFORMED
   }
 
+  private final Replica replica;
+  private final Upstreams upstreams;
+  private final Watchers watchers;
+  private final Outbox outbox;
+  private long olderPassedOver;
+
   /** A distributor over {@code upstreams} upstreams, in order of preference. */
-  public Distributor(Limits limits, int upstreams, long seed, Actions actions) {}
+  public Distributor(Limits limits, int upstreams, long seed, Actions actions) {
+    outbox = new Outbox(actions);
+    replica = new Replica(limits.entries(), limits.logChanges());
+    this.upstreams = new Upstreams(upstreams, seed, replica, outbox);
+    watchers = new Watchers(limits, replica, outbox);
+  }
 
   /** Starts: the first upstream is opened. */
-  public void start(long now) {}
+  public void start(long now) {
+    upstreams.start(now);
+    outbox.release();
+  }
 
   /** The upstream's watch was answered. */
-  public void upstreamOpened(int upstream, long now) {}
+  public void upstreamOpened(int upstream, long now) {
+    upstreamAlive(upstream, now);
+  }
 
   /** A line of the watch. */
-  public void upstreamTold(int upstream, Update update, long now) {}
+  public void upstreamTold(int upstream, Update update, long now) {
+    if (upstreams.follows(upstream)) {
+      told(update, now);
+      outbox.release();
+    }
+  }
 
   /** An empty line, or progress within a long one. */
-  public void upstreamAlive(int upstream, long now) {}
+  public void upstreamAlive(int upstream, long now) {
+    if (upstreams.follows(upstream)) {
+      upstreams.heard(now);
+    }
+  }
 
   /** The watch has ended. */
-  public void upstreamFailed(int upstream, Failure failure, long now) {}
+  public void upstreamFailed(int upstream, Failure failure, long now) {
+    if (upstreams.follows(upstream)) {
+      upstreams.failed(failure, now);
+      outbox.release();
+    }
+  }
 
   /** A watcher asks for what comes after {@code since}. */
-  public void watcherOpened(long watcher, Version since, long now) {}
+  public void watcherOpened(long watcher, Version since, long now) {
+    watchers.opened(watcher, since, now);
+    outbox.release();
+  }
 
   /** The socket has taken all that was sent to this watcher. */
-  public void watcherDrained(long watcher, long now) {}
+  public void watcherDrained(long watcher, long now) {
+    watchers.drained(watcher, now);
+    outbox.release();
+  }
+
+  /** The socket has taken a part of a message: the watcher is slow, not stalled. */
+  public void watcherProgressed(long watcher, long now) {
+    watchers.progressed(watcher, now);
+  }
 
   /** The watcher's connection has ended. */
-  public void watcherClosed(long watcher, long now) {}
+  public void watcherClosed(long watcher, long now) {
+    watchers.closed(watcher);
+  }
 
   /** Does what falls due by time. */
-  public void tick(long now) {}
+  public void tick(long now) {
+    upstreams.tick(now);
+    watchers.tick(now);
+    outbox.release();
+  }
 
   /** When {@link #tick} is next wanted. */
   public long nextTick() {
-    return Long.MAX_VALUE;
+    return Math.min(upstreams.due(), watchers.due());
   }
 
   /** Closes all watches, at a planned end. */
-  public void stop(long now) {}
+  public void stop(long now) {
+    upstreams.stop();
+    watchers.stop();
+    outbox.release();
+  }
 
   /** What operators read. */
   public Status status(long now) {
-    return null;
+    return new Status(replica.version(), replica.size(), upstreams.current(), upstreams.staleMs(now),
+        watchers.size(), watchers.behind(), watchers.waiting(), watchers.changesSent(),
+        watchers.coalescedSent(), watchers.snapshotsSent(), watchers.refused(), watchers.stalled(),
+        upstreams.failures(), upstreams.malformedCount(), olderPassedOver, replica.log().size());
+  }
+
+  private void told(Update update, long now) {
+    Version former = replica.version();
+    switch (replica.apply(update)) {
+      case APPLIED -> {
+        upstreams.level(now);
+        watchers.listChanged(former, now);
+      }
+      case SAME -> upstreams.level(now);
+      case OLDER -> older(update, now);
+      case NO_BASE -> upstreams.reopenFromNone(now);
+      case TOO_LONG -> upstreams.malformed(now);
+      default -> throw new IllegalStateException("no such outcome");
+    }
+  }
+
+  private void older(Update update, long now) {
+    olderPassedOver++;
+    if (update.whole() || update.version().series() < replica.version().series()) {
+      upstreams.fallsBehind(now);
+    } else {
+      upstreams.heard(now);
+    }
   }
 }
--- a/src/main/java/saltlatch/distribution/Message.java
+++ b/src/main/java/saltlatch/distribution/Message.java
@@ -33,7 +33,7 @@
     return kind;
   }
 
-  /** Where its receiver stands once it has applied this. */
+  /** Where its receiver stands once it has applied this; {@link Version#NONE} for a keep-alive, which moves nobody. */
   public Version version() {
     return version;
   }
--- /dev/null
+++ b/src/main/java/saltlatch/distribution/Watchers.java
@@ -0,0 +1,250 @@
+package saltlatch.distribution;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+/**
+ * The watchers: each is sent what it lacks, one message at a time. Who does not take a message gets nothing more, and once it
+ * has taken it the latest state of all that changed meanwhile.
+ */
+final class Watchers {
+  /** An idle watcher is sent a keep-alive after so long at the latest; the protocol has 2,000, less what a tick may be late. */
+  static final long KEEP_ALIVE_MS = 1_900;
+  /** Those idle for so long get theirs along with the first that is due, so that one tick does for many. */
+  static final long KEEP_ALIVE_SOONEST_MS = 1_600;
+  /** A watcher that takes nothing of a message for so long is closed, ms. */
+  static final long STALLED_MS = 30_000;
+
+  private static final Message KEEP_ALIVE = new Message(Message.Kind.KEEP_ALIVE, Version.NONE, List.of());
+
+  private final int most;
+  private final Replica replica;
+  private final Messages messages;
+  private final Admission admission;
+  private final Actions actions;
+  /** Those with nothing on the way, the one least recently sent to first; then those with a message on the way, likewise. */
+  private final Map<Long, Watcher> idle = new LinkedHashMap<>();
+  private final Map<Long, Watcher> sending = new LinkedHashMap<>();
+
+  private long changesSent;
+  private long coalescedSent;
+  private long snapshotsSent;
+  private long refused;
+  private long stalled;
+  private Version before = Version.NONE;
+
+  Watchers(Limits limits, Replica replica, Actions actions) {
+    most = limits.watchers();
+    this.replica = replica;
+    this.actions = actions;
+    messages = new Messages(replica, limits.logChanges());
+    admission = new Admission(limits.snapshotBytesPerSecond());
+  }
+
+  /** A watcher asks for what comes after {@code since}. */
+  void opened(long id, Version since, long now) {
+    closed(id);
+    if (size() >= most) {
+      refused++;
+      actions.closeWatcher(id, Actions.Reason.TOO_MANY_WATCHERS);
+      return;
+    }
+    Watcher watcher = new Watcher(id, since, now);
+    idle.put(id, watcher);
+    serve(watcher, now);
+    admit(now);
+    if (!watcher.sending) {
+      keepAlive(watcher, now);
+    }
+  }
+
+  /** The socket has taken all. */
+  void drained(long id, long now) {
+    Watcher watcher = sending.remove(id);
+    if (watcher == null) {
+      return;
+    }
+    watcher.sending = false;
+    watcher.touchedAt = now;
+    idle.put(id, watcher);
+    serve(watcher, now);
+    admit(now);
+  }
+
+  /** The socket has taken some. */
+  void progressed(long id, long now) {
+    Watcher watcher = sending.remove(id);
+    if (watcher != null) {
+      watcher.touchedAt = now;
+      sending.put(id, watcher);
+    }
+  }
+
+  /** The connection has ended. */
+  void closed(long id) {
+    sending.remove(id);
+    Watcher watcher = idle.remove(id);
+    if (watcher != null) {
+      admission.remove(watcher);
+    }
+  }
+
+  /** The list has moved on from {@code former}: all who are idle are told. */
+  void listChanged(Version former, long now) {
+    before = former;
+    for (Watcher watcher : new ArrayList<>(idle.values())) {
+      serve(watcher, now);
+    }
+    admit(now);
+  }
+
+  /** Whole lists that the budget allows, keep-alives, and the end of those that take nothing. */
+  void tick(long now) {
+    closeStalled(now);
+    admit(now);
+    if (keepAliveDue() <= now) {
+      keepAlives(now);
+    }
+  }
+
+  /** When {@link #tick} is wanted, ms. */
+  long due() {
+    long due = Math.min(keepAliveDue(), admission.due());
+    return sending.isEmpty() ? due : Math.min(due, first(sending).touchedAt + STALLED_MS);
+  }
+
+  /** Closes all. */
+  void stop() {
+    List<Watcher> all = new ArrayList<>(idle.values());
+    all.addAll(sending.values());
+    for (Watcher watcher : all) {
+      closed(watcher.id);
+      actions.closeWatcher(watcher.id, Actions.Reason.STOPPING);
+    }
+  }
+
+  int size() {
+    return idle.size() + sending.size();
+  }
+
+  int behind() {
+    return replica.listed() ? count(watcher -> watcher.lacks(replica.version())) : 0;
+  }
+
+  int waiting() {
+    return count(watcher -> watcher.waiting || !watcher.listed);
+  }
+
+  long changesSent() {
+    return changesSent;
+  }
+
+  long coalescedSent() {
+    return coalescedSent;
+  }
+
+  long snapshotsSent() {
+    return snapshotsSent;
+  }
+
+  long refused() {
+    return refused;
+  }
+
+  long stalled() {
+    return stalled;
+  }
+
+  private int count(Predicate<Watcher> condition) {
+    return (int) (idle.values().stream().filter(condition).count()
+        + sending.values().stream().filter(condition).count());
+  }
+
+  /** Sends what an idle watcher lacks, or queues it for a whole list. */
+  private void serve(Watcher watcher, long now) {
+    if (!replica.listed() || !watcher.lacks(replica.version())) {
+      return;
+    }
+    if (canBeToldChanges(watcher)) {
+      changes(watcher, now);
+    } else {
+      queue(watcher, now);
+    }
+  }
+
+  private boolean canBeToldChanges(Watcher watcher) {
+    return watcher.listed && watcher.version.series() == replica.version().series()
+        && replica.log().reaches(watcher.version.index());
+  }
+
+  private void changes(Watcher watcher, long now) {
+    if (watcher.waiting) {
+      admission.remove(watcher);
+      watcher.waiting = false;
+    }
+    changesSent++;
+    coalescedSent += watcher.version.equals(before) ? 0 : 1;
+    send(watcher, messages.changesSince(watcher.version.index()), now);
+  }
+
+  private void queue(Watcher watcher, long now) {
+    if (watcher.listed && !watcher.waiting) {
+      watcher.waitingSince = now;
+    }
+    watcher.waiting = true;
+    admission.add(watcher);
+  }
+
+  private void admit(long now) {
+    while (admission.ready(now)) {
+      Message snapshot = messages.snapshot(now);
+      Watcher watcher = admission.admit(messages.snapshotBytes());
+      watcher.waiting = false;
+      watcher.listed = true;
+      snapshotsSent++;
+      send(watcher, snapshot, now);
+    }
+  }
+
+  private void closeStalled(long now) {
+    while (!sending.isEmpty() && first(sending).touchedAt + STALLED_MS <= now) {
+      long id = first(sending).id;
+      sending.remove(id);
+      stalled++;
+      actions.closeWatcher(id, Actions.Reason.STALLED);
+    }
+  }
+
+  private long keepAliveDue() {
+    return idle.isEmpty() ? Long.MAX_VALUE : first(idle).touchedAt + KEEP_ALIVE_MS;
+  }
+
+  private void keepAlives(long now) {
+    while (!idle.isEmpty() && first(idle).touchedAt + KEEP_ALIVE_SOONEST_MS <= now) {
+      keepAlive(first(idle), now);
+    }
+  }
+
+  private void keepAlive(Watcher watcher, long now) {
+    admission.remove(watcher);
+    send(watcher, KEEP_ALIVE, now);
+  }
+
+  private void send(Watcher watcher, Message message, long now) {
+    idle.remove(watcher.id);
+    if (message.kind() != Message.Kind.KEEP_ALIVE) {
+      watcher.version = message.version();
+    }
+    watcher.sending = true;
+    watcher.touchedAt = now;
+    sending.put(watcher.id, watcher);
+    actions.send(watcher.id, message);
+  }
+
+  private static Watcher first(Map<Long, Watcher> watchers) {
+    return watchers.values().iterator().next();
+  }
+}
