--- a/src/main/java/saltlatch/distribution/Entry.java
+++ b/src/main/java/saltlatch/distribution/Entry.java
@@ -5,12 +5,12 @@
  * program does not know survive.
  *
  * @param removed the entry is gone from the list; kept in the log so that watchers learn of it
- * @param json    the entry's JSON object, without line breaks; empty for a removed entry that no source worded (it was
- *                missing in a whole list): the host words it
+ * @param json    the entry's JSON object, without line breaks. For a removed entry that was only missing in a whole list it
+ *                is the last that was heard of it, so that all its fields are there; the host words that it is gone
  */
 public record Entry(String name, boolean removed, String json) {
-  /** An entry found to be gone by comparing whole lists, which no source has worded. */
-  static Entry removed(String name) {
-    return new Entry(name, true, "");
+  /** This entry as gone from the list. */
+  Entry gone() {
+    return new Entry(name, true, json);
   }
 }
--- a/src/main/java/saltlatch/distribution/Replica.java
+++ b/src/main/java/saltlatch/distribution/Replica.java
@@ -110,7 +110,7 @@
     log.leapt(version.index(), index);
     for (Entry entry : entries.values()) {
       if (!next.containsKey(entry.name())) {
-        log.add(index, Entry.removed(entry.name()));
+        log.add(index, entry.gone());
       }
     }
     for (Entry entry : next.values()) {
