--- a/src/main/java/saltlatch/distribution/Admission.java
+++ b/src/main/java/saltlatch/distribution/Admission.java
@@ -38,19 +38,19 @@
     queue.remove(watcher);
   }
 
-  /** Whether somebody waits and the budget allows a list now. */
-  boolean ready(long now) {
+  /** The one whose turn it is, null if nobody waits or the budget allows no list now. */
+  Watcher ready(long now) {
     count(now);
-    return !queue.isEmpty() && allowance >= 0;
+    return queue.isEmpty() || allowance < 0 ? null : queue.first();
   }
 
-  /** Admits the first in the queue to a list of so many bytes. */
-  Watcher admit(long bytes) {
+  /** Admits the one that was ready to a list of so many bytes. */
+  void admit(Watcher watcher, long bytes) {
     allowance -= bytes;
-    return queue.pollFirst();
+    queue.remove(watcher);
   }
 
-  /** When {@link #ready} may be true, ms. */
+  /** When {@link #ready} may give one, ms. */
   long due() {
     if (queue.isEmpty()) {
       return Long.MAX_VALUE;
--- a/src/main/java/saltlatch/distribution/Messages.java
+++ b/src/main/java/saltlatch/distribution/Messages.java
@@ -35,9 +35,9 @@
         from -> new Message(Message.Kind.CHANGES, changesTo, entriesSince(from)));
   }
 
-  /** A whole list, perhaps some seconds old; what changed since is still in the log. */
-  Message snapshot(long now) {
-    if (!reusable(now)) {
+  /** A whole list later than {@code than}, perhaps some seconds old; what changed since is still in the log. */
+  Message snapshot(Version than, long now) {
+    if (!reusable(now) || snapshot.version().compareTo(than) <= 0) {
       snapshot = new Message(Message.Kind.SNAPSHOT, replica.version(), replica.snapshot());
       snapshotAt = now;
       snapshotAdded = replica.log().added();
--- a/src/main/java/saltlatch/distribution/Watchers.java
+++ b/src/main/java/saltlatch/distribution/Watchers.java
@@ -199,13 +199,13 @@
   }
 
   private void admit(long now) {
-    while (admission.ready(now)) {
-      Message snapshot = messages.snapshot(now);
-      Watcher watcher = admission.admit(messages.snapshotBytes());
-      watcher.waiting = false;
-      watcher.listed = true;
+    for (Watcher next = admission.ready(now); next != null; next = admission.ready(now)) {
+      Message snapshot = messages.snapshot(next.version, now);
+      admission.admit(next, messages.snapshotBytes());
+      next.waiting = false;
+      next.listed = true;
       snapshotsSent++;
-      send(watcher, snapshot, now);
+      send(next, snapshot, now);
     }
   }
 
