--- a/src/test/java/saltlatch/distribution/ModelFleet.java
+++ b/src/test/java/saltlatch/distribution/ModelFleet.java
@@ -23,6 +23,16 @@
     default long budget(Limits limits) {
       return limits.snapshotBytesPerSecond();
     }
+
+    /** By how much ticks are late, ms. */
+    default long ticksLate() {
+      return 0;
+    }
+
+    /** Whether a message is reported as taken while it is still on the way. */
+    default boolean drainsEarly() {
+      return false;
+    }
   }
 
   /** A process. */
@@ -70,6 +80,9 @@
   /** Sizes of a model. */
   record Shape(int first, int second, int watchers, int names, int fill, Limits limits) {}
 
+  /** A whole list as all who got the same message hold it. */
+  record Whole(Map<String, Entry> entries, long checksum) {}
+
   private record Path(Node one, Node other) {}
 
   final Simulation simulation = new Simulation();
@@ -86,7 +99,7 @@
   final List<ModelRelay> relays = new ArrayList<>();
   final List<Node> watcherNodes = new ArrayList<>();
   final List<ModelWatcher> watchers = new ArrayList<>();
-  private final Map<Message, Map<String, Entry>> lists = new IdentityHashMap<>();
+  private final Map<Message, Whole> lists = new IdentityHashMap<>();
   private final Map<Path, Long> cutUntil = new HashMap<>();
   private long links;
 
@@ -124,11 +137,11 @@
     }
   }
 
-  Map<String, Entry> listOf(Message message) {
+  Whole listOf(Message message) {
     return lists.computeIfAbsent(message, whole -> {
       Map<String, Entry> list = new HashMap<>();
       whole.entries().forEach(entry -> list.put(entry.name(), entry));
-      return list;
+      return new Whole(list, list.values().stream().mapToLong(ModelSource::checksum).sum());
     });
   }
 
--- a/src/test/java/saltlatch/distribution/ModelLink.java
+++ b/src/test/java/saltlatch/distribution/ModelLink.java
@@ -68,6 +68,9 @@
     if (sent.size() == 1) {
       carry();
     }
+    if (fleet.plant.drainsEarly()) {
+      fleet.simulation.after(1, () -> to.server().drained(this));
+    }
   }
 
   /** The client ends it; the server hears of it once the path is up. */
--- a/src/test/java/saltlatch/distribution/ModelRelay.java
+++ b/src/test/java/saltlatch/distribution/ModelRelay.java
@@ -171,7 +171,7 @@
     }
     tickAt = due;
     int tick = ++ticks;
-    fleet.simulation.after(due - now(), () -> {
+    fleet.simulation.after(due - now() + fleet.plant.ticksLate(), () -> {
       if (tick == ticks && node.alive()) {
         tickAt = Long.MAX_VALUE;
         distributor.tick(now());
--- a/src/test/java/saltlatch/distribution/ModelWatcher.java
+++ b/src/test/java/saltlatch/distribution/ModelWatcher.java
@@ -78,9 +78,10 @@
     fleet.check(message.version().compareTo(version) > 0,
         node + " is sent back from " + version + " to " + message.version());
     if (message.kind() == Message.Kind.SNAPSHOT) {
-      base = fleet.listOf(message);
+      ModelFleet.Whole whole = fleet.listOf(message);
+      base = whole.entries();
       changed.clear();
-      checksum = base.values().stream().mapToLong(ModelSource::checksum).sum();
+      checksum = whole.checksum();
     } else {
       fleet.check(message.version().series() == version.series(),
           node + " is sent changes of another series");
