--- a/src/main/java/saltlatch/distribution/Distributor.java
+++ b/src/main/java/saltlatch/distribution/Distributor.java
@@ -37,7 +37,9 @@
 
   /** The upstream's watch was answered. */
   public void upstreamOpened(int upstream, long now) {
-    upstreamAlive(upstream, now);
+    if (upstreams.follows(upstream)) {
+      upstreams.answered(now);
+    }
   }
 
   /** A line of the watch. */
--- a/src/main/java/saltlatch/distribution/Upstreams.java
+++ b/src/main/java/saltlatch/distribution/Upstreams.java
@@ -39,6 +39,7 @@
   private int before = NONE;
   private boolean stopped = true;
   private boolean answered;
+  /** The whole list was asked for and nothing of use has come yet. */
   private boolean fromNone;
   private boolean behind;
   private long openedAt;
@@ -82,15 +83,23 @@
     return current;
   }
 
-  /** It said something, whatever it was. */
-  void heard(long now) {
+  /** The watch was answered, which says nothing yet of how old its list is. */
+  void answered(long now) {
     answered = true;
     heardAt = now;
-    if (!behind && replica.listed()) {
+  }
+
+  /** It said something, whatever it was. */
+  void heard(long now) {
+    answered(now);
+    if (behind) {
+      return;
+    }
+    if (replica.listed()) {
       freshAt = now;
       everFresh = true;
     }
-    if (now - openedAt >= STEADY_MS && !behind) {
+    if (now - openedAt >= STEADY_MS) {
       settled();
     }
   }
@@ -98,6 +107,7 @@
   /** It stands where this relay does, or it was what brought it there. */
   void level(long now) {
     behind = false;
+    fromNone = false;
     heard(now);
   }
 
--- a/src/test/java/saltlatch/distribution/ModelAgent.java
+++ b/src/test/java/saltlatch/distribution/ModelAgent.java
@@ -44,7 +44,8 @@
       log.clear();
       whole.forEach(entry -> list.put(entry.name(), entry));
       logBegin = to.index();
-      tell(whole());
+      // Every other series is told to open watches by a change alone.
+      tell(to.series() % 2 == 0 ? whole() : new Message(Message.Kind.CHANGES, to, whole.subList(0, 1)));
     });
   }
 
