An upstream without a list is given more time the second time; more traces

Found by the trace no-list-yet: keep-alives alone cleared its failures after 10 s, so that the patience never grew. The model checks that no tick is wanted that does nothing.

--- a/src/main/java/saltlatch/distribution/Messages.java
+++ b/src/main/java/saltlatch/distribution/Messages.java
@@ -62,7 +62,6 @@
     if (snapshot.version().equals(replica.version())) {
       return true;
     }
-    return now - snapshotAt <= SNAPSHOT_REUSE_MS && replica.log().added() - snapshotAdded <= reuseChanges
-        && replica.log().reaches(snapshot.version().index());
+    return now - snapshotAt <= SNAPSHOT_REUSE_MS && replica.log().added() - snapshotAdded <= reuseChanges;
   }
 }
--- a/src/main/java/saltlatch/distribution/Upstreams.java
+++ b/src/main/java/saltlatch/distribution/Upstreams.java
@@ -92,13 +92,11 @@
   /** It said something, whatever it was. */
   void heard(long now) {
     answered(now);
-    if (behind) {
+    if (behind || !replica.listed()) {
       return;
     }
-    if (replica.listed()) {
-      freshAt = now;
-      everFresh = true;
-    }
+    freshAt = now;
+    everFresh = true;
     if (now - openedAt >= STEADY_MS) {
       settled();
     }
--- a/src/test/java/saltlatch/distribution/DecisionTraceTest.java
+++ b/src/test/java/saltlatch/distribution/DecisionTraceTest.java
@@ -16,7 +16,7 @@
   @ParameterizedTest
   @ValueSource(strings = {"reads-nothing", "moved-to-one-behind", "back-with-less", "change-during-snapshot",
       "malformed", "told-twice", "new-series", "whole-lists-compared", "log-bound", "return-to-preferred",
-      "admission", "cut-off"})
+      "admission", "cut-off", "no-list-yet"})
   void actionsFollowAsWrittenDown(String name) throws IOException {
     String trace = DecisionTrace.read(name);
     String played = DecisionTrace.play(trace);
--- a/src/test/java/saltlatch/distribution/DistributionModelTest.java
+++ b/src/test/java/saltlatch/distribution/DistributionModelTest.java
@@ -21,8 +21,8 @@
   private static final long IN_FORCE_WITHIN = 4 * SECOND;
   /** A watcher that moves has to notice (a reset), to wait (up to 1 s) and to ask again. */
   private static final long IN_FORCE_WITHIN_WITH_A_RELAY_KILLED = 4 * SECOND;
-  private static final int SEEDS = Integer.getInteger("distribution.seeds", 8);
-  private static final int MINUTES = Integer.getInteger("distribution.minutes", 5);
+  private static final int SEEDS = Integer.getInteger("distribution.seeds", 20);
+  private static final int MINUTES = Integer.getInteger("distribution.minutes", 10);
   private static final Limits LIMITS = new Limits(40, 100, 30, 20_000);
   private static final ModelFleet.Shape SMALL = new ModelFleet.Shape(2, 3, 24, 60, 20, LIMITS);
   private static final ModelFleet.Plant NOTHING = new ModelFleet.Plant() {};
--- a/src/test/java/saltlatch/distribution/ModelRelay.java
+++ b/src/test/java/saltlatch/distribution/ModelRelay.java
@@ -165,7 +165,11 @@
   }
 
   private void next() {
-    long due = Math.max(now(), distributor.nextTick());
+    next(now());
+  }
+
+  private void next(long earliest) {
+    long due = Math.max(earliest, distributor.nextTick());
     if (due == Long.MAX_VALUE || due >= tickAt && tickAt > now()) {
       return;
     }
@@ -176,7 +180,7 @@
         tickAt = Long.MAX_VALUE;
         distributor.tick(now());
         fleet.check(distributor.nextTick() > now(), node + " wants a tick that does nothing");
-        next();
+        next(now() + 1);
       }
     });
   }
