A watcher that trickles is closed after 120 s, so that old whole lists do not pile up

Each progress of a socket gave 30 s more without end; a watcher that takes a little now and then would have kept its whole list's buffer for ever. Test tricklingWatcherIsClosedInTheEnd.

--- a/src/main/java/saltlatch/distribution/Watcher.java
+++ b/src/main/java/saltlatch/distribution/Watcher.java
@@ -13,7 +13,9 @@
   boolean waiting;
   /** Since when it has waited for a whole list, ms; who never had one waits from the start. */
   long waitingSince;
-  /** When the last message was sent, ms; while sending, when its socket last took anything. */
+  /** When the last message was sent, ms. */
+  long sentAt;
+  /** When its socket last took anything, or was given something to take, ms. */
   long touchedAt;
 
   Watcher(long id, Version since, long now) {
--- a/src/main/java/saltlatch/distribution/Watchers.java
+++ b/src/main/java/saltlatch/distribution/Watchers.java
@@ -17,6 +17,8 @@
   static final long KEEP_ALIVE_SOONEST_MS = 1_600;
   /** A watcher that takes nothing of a message for so long is closed, ms. */
   static final long STALLED_MS = 30_000;
+  /** Nor does one keep a message for longer than this, ms, however slowly it reads: each whole list on its way is memory. */
+  static final long TAKEN_WITHIN_MS = 120_000;
 
   private static final Message KEEP_ALIVE = new Message(Message.Kind.KEEP_ALIVE, Version.NONE, List.of());
 
@@ -74,13 +76,15 @@
     admit(now);
   }
 
-  /** The socket has taken some. */
+  /** The socket has taken some: the watcher is given more time, up to a bound. */
   void progressed(long id, long now) {
-    Watcher watcher = sending.remove(id);
-    if (watcher != null) {
-      watcher.touchedAt = now;
-      sending.put(id, watcher);
+    Watcher watcher = sending.get(id);
+    if (watcher == null || now + STALLED_MS > watcher.sentAt + TAKEN_WITHIN_MS) {
+      return;
     }
+    watcher.touchedAt = now;
+    sending.remove(id);
+    sending.put(id, watcher);
   }
 
   /** The connection has ended. */
@@ -239,6 +243,7 @@
       watcher.version = message.version();
     }
     watcher.sending = true;
+    watcher.sentAt = now;
     watcher.touchedAt = now;
     sending.put(watcher.id, watcher);
     actions.send(watcher.id, message);
--- a/src/test/java/saltlatch/distribution/DistributorTest.java
+++ b/src/test/java/saltlatch/distribution/DistributorTest.java
@@ -126,6 +126,19 @@
     assertEquals(List.of("2 STALLED", "1 STALLED"), host.closed);
   }
 
+  /** One that takes a little now and then does not keep a list's memory for ever. */
+  @Test
+  void tricklingWatcherIsClosedInTheEnd() {
+    Host host = listed(new Limits(1, 1_000, 1_000, BUDGET), 100);
+    host.distributor.watcherOpened(1, Version.NONE, 0);
+    while (host.closed.isEmpty() && host.now < 300 * SECOND) {
+      run(host, host.now + SECOND);
+      host.distributor.watcherProgressed(1, host.now);
+    }
+    assertEquals(List.of("1 STALLED"), host.closed);
+    assertTrue(host.now >= 119 * SECOND && host.now <= 121 * SECOND, host.now + " ms");
+  }
+
   /** A stream of changes while whole lists go out: few are made, and all reach the latest version. */
   @Test
   void snapshotIsReusedWhileChangesGoOn() {
