--- a/src/test/java/saltlatch/distribution/Faults.java
+++ b/src/test/java/saltlatch/distribution/Faults.java
@@ -6,17 +6,20 @@
 /** Changes at the source and faults everywhere, drawn from a seed. */
 final class Faults {
   private static final long LONGEST_MS = 60_000;
-  private static final long MEAN_GAP_MS = 2_000;
+  private static final long SELDOM_MS = 2_000;
+  private static final long OFTEN_MS = 400;
   private static final long CHANGE_GAP_MS = 500;
 
   private final ModelFleet fleet;
   private final SplittableRandom random;
+  private final long meanGapMs;
   private long end;
   private long over;
 
   Faults(ModelFleet fleet, long seed) {
     this.fleet = fleet;
     random = new SplittableRandom(seed);
+    meanGapMs = seed % 2 == 0 ? SELDOM_MS : OFTEN_MS;
   }
 
   void begin(long duration) {
@@ -41,7 +44,7 @@
   private void next() {
     if (fleet.simulation.now() < end) {
       fault();
-      fleet.simulation.after(random.nextLong(1, 2 * MEAN_GAP_MS), this::next);
+      fleet.simulation.after(random.nextLong(1, 2 * meanGapMs), this::next);
     }
   }
 
