--- a/src/main/java/saltlatch/distribution/Distributor.java
+++ b/src/main/java/saltlatch/distribution/Distributor.java
@@ -3,6 +3,7 @@
 /**
  * The decisions of one relay, without I/O: events in, {@link Actions} out. It follows one of several upstreams, keeps the list
  * with a bounded log of its changes, and tells its watchers what they lack. Times are in milliseconds of one monotonic clock.
+ * Events may be reported from within an action; all come from one thread.
  */
 public final class Distributor {
   /** Why an upstream's watch ended. */
@@ -94,7 +95,7 @@
     outbox.release();
   }
 
-  /** When {@link #tick} is next wanted. */
+  /** When {@link #tick} is next wanted, to be asked after each event; a time that is over means at once. */
   public long nextTick() {
     return Math.min(upstreams.due(), watchers.due());
   }
--- a/src/test/java/saltlatch/distribution/DistributorTest.java
+++ b/src/test/java/saltlatch/distribution/DistributorTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -99,6 +100,12 @@
     assertEquals(0, host.distributor.status(host.now).waiting());
   }
 
+  @Test
+  void limitsBelowOneAreRefused() {
+    assertThrows(IllegalArgumentException.class, () -> new Limits(1, 1, 1, 0));
+    assertThrows(IllegalArgumentException.class, () -> new Limits(0, 1, 1, 1));
+  }
+
   @Test
   void oneMessageForAllAtTheSamePosition() {
     Host host = listed(new Limits(WATCHERS, 1_000, 1_000, BUDGET), 100);
