--- a/src/test/java/saltlatch/distribution/DistributorTest.java
+++ b/src/test/java/saltlatch/distribution/DistributorTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
 /** Cases with too many watchers or entries for a trace. */
@@ -120,6 +121,20 @@
     assertEquals(List.of(entry(5, 1)), host.sent.get(0).message.entries());
   }
 
+  /** Outcomes reported from within an action neither nest without bound nor change the order. */
+  @Test
+  void anyNumberMayTakeAtOnce() {
+    int many = 50_000;
+    Host host = listed(new Limits(many, 1_000, 1_000, BUDGET), 100);
+    host.takesAtOnce = true;
+    for (int watcher = 0; watcher < many; watcher++) {
+      host.distributor.watcherOpened(watcher, new Version(7, 1), 0);
+    }
+    host.sent.clear();
+    host.distributor.upstreamTold(0, new Update(new Version(7, 2), false, List.of(entry(5, 1))), 1);
+    assertEquals(LongStream.range(0, many).boxed().toList(), host.sent.stream().map(Sent::watcher).toList());
+  }
+
   @Test
   void slowWatcherIsNotAStalledOne() {
     Host host = listed(new Limits(2, 1_000, 1_000, BUDGET), 100);
