--- a/src/main/java/saltlatch/cli/Commands.java
+++ b/src/main/java/saltlatch/cli/Commands.java
@@ -12,9 +12,10 @@
  * The command line: {@code serve}, {@code simhost}, {@code emulate}, {@code load}, {@code report}, {@code lab}. Exit
  * codes: 0 done (or, for {@code serve}, serving), 2 bad input or configuration, 3 can't listen, 1 a lab check failed.
  */
-@Command(name = "saltlatch", mixinStandardHelpOptions = true, version = "saltlatch 0.2.0", description = "A quota-keeping gateway for a shared API, and its laboratory.", subcommands = {
-    Commands.ServeCommand.class, Commands.SimHostCommand.class, EmulateCommand.class, LoadCommand.class,
-    ReportCommand.class, LabCommand.class})
+@Command(name = "saltlatch", mixinStandardHelpOptions = true, version = "saltlatch 0.2.0", description = "A quota-keeping gateway "
+    + "for a shared API, and its laboratory.", subcommands = {Commands.ServeCommand.class,
+        Commands.SimHostCommand.class, EmulateCommand.class, LoadCommand.class, ReportCommand.class,
+        LabCommand.class})
 public final class Commands implements Runnable {
 
   /** True for the subcommands whose work goes on after {@code main} returns. */
@@ -28,7 +29,8 @@
   }
 
   /** One real edge node; the configuration is the file that {@code LB_CONFIG} names, as the platform gives it. */
-  @Command(name = "serve", mixinStandardHelpOptions = true, description = "Serve as one edge node; LB_CONFIG names the configuration (JSON).")
+  @Command(name = "serve", mixinStandardHelpOptions = true, description = "Serve as one edge node; "
+      + "LB_CONFIG names the configuration (JSON).")
   static final class ServeCommand implements Callable<Integer> {
     @Override
     public Integer call() {
@@ -42,7 +44,8 @@
   }
 
   /** The decision module on the simulator's wire, standard input to standard output. */
-  @Command(name = "simhost", mixinStandardHelpOptions = true, description = "Host the decision module on the simulator's frames (stdin to stdout).")
+  @Command(name = "simhost", mixinStandardHelpOptions = true, description = "Host the decision module on the "
+      + "simulator's frames (stdin to stdout).")
   static final class SimHostCommand implements Callable<Integer> {
     @Override
     public Integer call() {
--- a/src/main/java/saltlatch/cli/LabCommand.java
+++ b/src/main/java/saltlatch/cli/LabCommand.java
@@ -4,7 +4,10 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
 import saltlatch.lab.load.RunResult;
 import saltlatch.lab.report.Report;
 import saltlatch.lab.rig.Processes;
@@ -12,11 +15,15 @@
 import saltlatch.lab.scenario.Scenario;
 
 /** {@code lab}: emulator, K in-process edge nodes and the load; writes the run file and its report. */
-@Command(name = "lab", mixinStandardHelpOptions = true, description = "Run a scenario against K real edge nodes in this process; write RUN.json and RUN.html.")
+@Command(name = "lab", mixinStandardHelpOptions = true, subcommands = {
+    ScaleCommand.class}, description = "Run a scenario against K real edge nodes "
+        + "in this process; write RUN.json and RUN.html.")
 final class LabCommand implements Callable<Integer> {
   private static final int MOST_SHOWN = 20; // violations on the screen; the run file has all
 
-  @Option(names = "--scenario", required = true, description = "scenario file (TOML, see docs/lab.md)") Path scenario;
+  @Spec CommandSpec spec;
+
+  @Option(names = "--scenario", description = "scenario file (TOML, see docs/lab.md)") Path scenario;
 
   @Option(names = "--nodes", defaultValue = "0", description = "edge nodes; 0 takes the scenario's") int nodes;
 
@@ -33,6 +40,9 @@
 
   @Override
   public Integer call() throws Exception {
+    if (scenario == null) {
+      throw new ParameterException(spec.commandLine(), "Missing required option: '--scenario=<scenario>'");
+    }
     Processes.Program program = processes
         ? Processes.Program.of(Path.of("deploy/balancer.toml"), jar, Path.of(out + "-nodes")) : null;
     Scenario read = Scenario.read(scenario);
