--- a/src/main/java/saltlatch/lab/rig/Processes.java
+++ b/src/main/java/saltlatch/lab/rig/Processes.java
@@ -79,6 +79,7 @@
     long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MS);
     for (int i = 0; i < n; i++) {
       while (!answers(i)) {
+        if (!alive(i)) throw new IOException("node " + i + " ended before it was ready");
         if (System.nanoTime() > until)
           throw new IOException("node " + i + " not ready in " + READY_MS + " ms");
         Thread.sleep(LOOK_MS);
@@ -108,6 +109,13 @@
     }
   }
 
+  /** The process' id. */
+  public long pid(int i) {
+    synchronized (processes) {
+      return processes.get(i).pid();
+    }
+  }
+
   private Process launch(int i, boolean old) throws IOException {
     Path config = program.dir.resolve("n" + i + ".json");
     Files.writeString(config, configs.apply(i, old).replace("\"listen\":\"127.0.0.1:0\"",
--- /dev/null
+++ b/src/main/java/saltlatch/lab/scale/ListScale.java
@@ -0,0 +1,106 @@
+package saltlatch.lab.scale;
+
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import saltlatch.lab.hollow.NodeConfig;
+import saltlatch.lab.rig.ProcessFigures;
+import saltlatch.lab.rig.Processes;
+
+/**
+ * App servers in discovery's list, before one real node: {@code list.start} (CPU and time from its start until it has read
+ * the list, and a second more in which it applies it; bytes read; heap held after a collection and RSS at its highest, both
+ * at the end), {@code list.rest} (a second of a list that does not change) and {@code list.change} (one app server's
+ * change, beyond what rest costs). COUNT of the start: lists that it took, 0 where it could not.
+ */
+final class ListScale implements ScaleTest {
+  private static final long READ_MS = 20_000; // a list that was not taken by then is not taken
+  private static final long LOOK_MS = 50; // between two looks whether it was
+  private static final long APPLY_MS = 1_000; // for applying what was read
+  private static final long SETTLE_MS = 2_000; // for compiles that the start has left
+  private static final long WINDOW_MS = 6_000; // of rest, and of changes
+  private static final double CHANGES_PER_SECOND = 10;
+  private static final double NANOS = 1e9; // in a second
+
+  private final Bench bench;
+
+  ListScale(Bench bench) {
+    this.bench = bench;
+  }
+
+  @Override
+  public String name() {
+    return "list";
+  }
+
+  @Override
+  public String grows() {
+    return "app servers";
+  }
+
+  @Override
+  public List<Long> sizes() {
+    return List.of(1_000L, 3_200L, 10_500L, 34_000L);
+  }
+
+  @Override
+  public Needs needs(long size) {
+    return new Needs(Bench.NODE_BYTES + Bench.SOURCE_BYTES, 2);
+  }
+
+  @Override
+  public Map<String, Values> measure(long size, int repeat) throws Exception {
+    Map<String, Values> measured = new LinkedHashMap<>();
+    try (SourceProcess source = new SourceProcess(bench, size);
+        Processes nodes = bench.nodes(number -> NodeConfig.of(number, 1, source.address()).json())) {
+      Values start = start(nodes, source);
+      measured.put("list.start", start);
+      if (start.map().get(Quantity.COUNT) > 0) {
+        Thread.sleep(SETTLE_MS);
+        Readings.Used rest = window(nodes.pid(0), source, 0);
+        Readings.Used changes = window(nodes.pid(0), source, CHANGES_PER_SECOND);
+        measured.put("list.rest",
+            Values.of(Quantity.CPU_MS, rest.cpuMs() / rest.seconds())
+                .and(Quantity.BYTES_IN, rest.bytes() / rest.seconds())
+                .and(Quantity.MESSAGES_IN, rest.messages() / rest.seconds()));
+        measured.put("list.change", change(rest, changes));
+      }
+      start.and(Quantity.RSS_BYTES, ProcessFigures.peakRssBytes(nodes.pid(0)));
+      start.and(Quantity.HEAP_BYTES, ProcessFigures.heldHeapBytes(nodes.pid(0)));
+    }
+    return measured;
+  }
+
+  private Values start(Processes nodes, SourceProcess source) throws IOException, InterruptedException {
+    long from = System.nanoTime();
+    nodes.start(1);
+    while (lists(nodes) == 0 && System.nanoTime() - from < READ_MS * 1_000_000) Thread.sleep(LOOK_MS);
+    double seconds = (System.nanoTime() - from) / NANOS;
+    Thread.sleep(APPLY_MS);
+    return Values.of(Quantity.CPU_MS, ProcessFigures.cpu(nodes.pid(0)).processMs())
+        .and(Quantity.SECONDS, seconds).and(Quantity.BYTES_IN, source.sent().bytesOut())
+        .and(Quantity.COUNT, lists(nodes));
+  }
+
+  private static long lists(Processes nodes) {
+    return nodes.figures(0).getOrDefault("lists", 0L);
+  }
+
+  private static Readings.Used window(long pid, SourceProcess source, double changesPerSecond)
+      throws IOException, InterruptedException {
+    source.rate(changesPerSecond);
+    Readings from = Readings.of(pid, source);
+    Thread.sleep(WINDOW_MS);
+    Readings.Used used = from.until();
+    source.rate(0);
+    return used;
+  }
+
+  private static Values change(Readings.Used rest, Readings.Used changes) {
+    double atRest = rest.cpuMs() / rest.seconds() * changes.seconds();
+    return Values.of(Quantity.CPU_MS, (changes.cpuMs() - atRest) / changes.changes())
+        .and(Quantity.BYTES_IN, (double) changes.bytes() / changes.changes())
+        .and(Quantity.MESSAGES_IN, (double) changes.messages() / changes.changes());
+  }
+}
--- /dev/null
+++ b/src/main/java/saltlatch/lab/scale/Readings.java
@@ -0,0 +1,37 @@
+package saltlatch.lab.scale;
+
+import java.io.IOException;
+import saltlatch.lab.rig.ProcessFigures;
+
+/** What one process and one source have used between two instants. */
+final class Readings {
+  private static final double NANOS = 1e9; // in a second
+
+  private final long pid;
+  private final SourceProcess source;
+  private final ProcessFigures.Cpu cpu;
+  private final SourceProcess.Sent sent;
+  private final long at = System.nanoTime();
+
+  private Readings(long pid, SourceProcess source) throws IOException, InterruptedException {
+    this.pid = pid;
+    this.source = source;
+    sent = source.sent();
+    cpu = ProcessFigures.cpu(pid);
+  }
+
+  /** Reads both now. */
+  static Readings of(long pid, SourceProcess source) throws IOException, InterruptedException {
+    return new Readings(pid, source);
+  }
+
+  /** Since a reading: CPU of the process, seconds, bytes and messages of the source, changes that it put. */
+  record Used(double cpuMs, double seconds, long bytes, long messages, long changes) {}
+
+  /** What was used from then until now. */
+  Used until() throws IOException, InterruptedException {
+    Readings now = of(pid, source);
+    return new Used(now.cpu.msSince(cpu), (now.at - at) / NANOS, now.sent.bytesOut() - sent.bytesOut(),
+        now.sent.messages() - sent.messages(), now.sent.index() - sent.index());
+  }
+}
--- a/src/main/java/saltlatch/lab/scale/WireBytes.java
+++ b/src/main/java/saltlatch/lab/scale/WireBytes.java
@@ -1,6 +1,7 @@
 package saltlatch.lab.scale;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelHandler.Sharable;
 import io.netty.channel.ChannelHandlerContext;
@@ -23,6 +24,12 @@
     ((HttpServerConnection) connection).channelHandlerContext().pipeline().addFirst(this);
   }
 
+  /** Counts this connection no more. */
+  void leaveOut(HttpConnection connection) {
+    ChannelPipeline pipeline = ((HttpServerConnection) connection).channelHandlerContext().pipeline();
+    if (pipeline.context(this) != null) pipeline.remove(this);
+  }
+
   /** Bytes written to all connections so far. */
   long out() {
     return out.sum();
