lab scale counter, members, requests; lab hollow compare: hollow nodes against real ones

Slopes for the counter, membership and requests. counter and requests run one real node (the run line's flags, no history) before the emulator's stand-ins and read its CPU and the counter's calls and bytes after a warm-up; requests also offers the same load straight to the app servers and tells by how much the load tool itself was late. members runs saltlatch.member over a network in memory in virtual time: 2,700 processes of real datagrams don't fit. CounterStub counts its bytes. lab hollow compare [--sizes 1,5,20] [--out docs/capacity/hollow-vs-real.md] runs as many real processes as hollow nodes under the same source, writes the table of differences, and ends with 1 where bytes or messages differ by more than 10 %.

--- a/src/main/java/saltlatch/cli/HollowCommand.java
+++ b/src/main/java/saltlatch/cli/HollowCommand.java
@@ -18,8 +18,9 @@
 import saltlatch.lab.hollow.NodeConfig;
 
 /** {@code lab hollow}: the control part of many edge nodes in this process, following one discovery or relay. */
-@Command(name = "hollow", mixinStandardHelpOptions = true, description = "Run the control part of many "
-    + "edge nodes in this process: discovery, list and membership, no data path.")
+@Command(name = "hollow", mixinStandardHelpOptions = true, subcommands = {
+    HollowCompareCommand.class}, description = "Run the control part of many "
+        + "edge nodes in this process: discovery, list and membership, no data path.")
 final class HollowCommand implements Callable<Integer> {
   @Spec CommandSpec spec;
 
--- a/src/main/java/saltlatch/cli/ScaleCommand.java
+++ b/src/main/java/saltlatch/cli/ScaleCommand.java
@@ -29,8 +29,8 @@
 
   @Spec CommandSpec spec;
 
-  @Parameters(index = "0", arity = "0..1", paramLabel = "TEST", description = "list, watchers, plans: "
-      + "what grows") String test;
+  @Parameters(index = "0", arity = "0..1", paramLabel = "TEST", description = "list, watchers, plans, "
+      + "counter, members, requests: what grows") String test;
 
   @Option(names = "--sizes", split = ",", description = "ascending; else the test's own") List<Long> sizes;
 
@@ -67,7 +67,7 @@
   }
 
   /** The jar that runs this. */
-  private static Path ownJar() throws URISyntaxException {
+  static Path ownJar() throws URISyntaxException {
     return Path.of(ScaleCommand.class.getProtectionDomain().getCodeSource().getLocation().toURI());
   }
 }
--- a/src/main/java/saltlatch/lab/emulator/CounterStub.java
+++ b/src/main/java/saltlatch/lab/emulator/CounterStub.java
@@ -32,6 +32,7 @@
   static final int MOST_CONNECTIONS = 32; // an edge node's connections at one address, as the protocol page says
   static final double IDLE_MS = 10_000; // a connection idle this long is closed
   private static final double LONGEST_LIFE_MS = 60_000;
+  private static final String END_OF_LINE = "\r\n";
   private static final MathContext SEVEN = new MathContext(7);
 
   private final Vertx vertx;
@@ -45,6 +46,8 @@
   private Map<String, Entry> split; // the second side's store while a split holds
   private final List<Boolean> emptied = new ArrayList<>();
   private long calls;
+  private long bytesIn;
+  private long bytesOut;
   private long held;
   private long turnedAway;
   private double freeMs; // when the calls taken so far will have had their turn
@@ -101,6 +104,16 @@
     return calls;
   }
 
+  /** Bytes of calls, their ends of line with them. */
+  long bytesIn() {
+    return bytesIn;
+  }
+
+  /** Bytes of answers, their ends of line with them. */
+  long bytesOut() {
+    return bytesOut;
+  }
+
   /** Calls that a silence held back. */
   long held() {
     return held;
@@ -127,13 +140,15 @@
     mine.add(c);
     socket.closeHandler(v -> mine.remove(c));
     socket.exceptionHandler(e -> socket.close());
-    socket.handler(RecordParser.newDelimited("\r\n", line -> call(c, line.toString())).maxRecordSize(256));
+    socket
+        .handler(RecordParser.newDelimited(END_OF_LINE, line -> call(c, line.toString())).maxRecordSize(256));
   }
 
   private void call(Conn c, String line) {
     double now = clock.nowMs();
     c.lastMs = now;
     calls++;
+    bytesIn += line.length() + END_OF_LINE.length();
     String[] slot = new String[1];
     c.slots.addLast(slot);
     String[] w = line.split(" ");
@@ -200,7 +215,9 @@
   private void answer(Conn c, String[] slot, String text, double now) {
     slot[0] = text;
     while (!c.slots.isEmpty() && c.slots.peekFirst()[0] != null) {
-      c.socket.write(Buffer.buffer(c.slots.pollFirst()[0] + "\r\n"));
+      Buffer out = Buffer.buffer(c.slots.pollFirst()[0] + END_OF_LINE);
+      bytesOut += out.length();
+      c.socket.write(out);
     }
     c.lastMs = now;
   }
--- a/src/main/java/saltlatch/lab/emulator/Emulator.java
+++ b/src/main/java/saltlatch/lab/emulator/Emulator.java
@@ -178,6 +178,8 @@
       m.put("server_commands", servers.commands());
       m.put("server_spoilt", servers.spoilt());
       m.put("counter_calls", counter.calls());
+      m.put("counter_bytes_in", counter.bytesIn());
+      m.put("counter_bytes_out", counter.bytesOut());
       m.put("counter_held_by_silence", counter.held());
       m.put("counter_turned_away", counter.turnedAway());
       m.put("discovery_fetches", discovery.fetches());
--- a/src/main/java/saltlatch/lab/hollow/HollowFleet.java
+++ b/src/main/java/saltlatch/lab/hollow/HollowFleet.java
@@ -26,7 +26,11 @@
   /** How far the nodes are: those with a list, the index that all of them have, the highest, entries of all of them. */
   public record Progress(int nodes, int withList, long leastIndex, long newestIndex, long entries) {}
 
+  /** Datagrams that all nodes together have sent and read; none where they do not know each other. */
+  public record Datagrams(long out, long in) {}
+
   private final Vertx vertx;
+  private final boolean membership;
   private final List<HollowNode> nodes = new ArrayList<>();
   private final Queue<Applied> applied = new ConcurrentLinkedQueue<>();
 
@@ -35,6 +39,7 @@
     vertx = Vertx.vertx(
         new VertxOptions().setEventLoopPoolSize(loops).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
             .setPreferNativeTransport(true).setBlockedThreadCheckInterval(TimeUnit.HOURS.toMillis(1)));
+    membership = configs.stream().anyMatch(NodeConfig::membership);
     for (NodeConfig config : configs) {
       Host host = new Host(config);
       vertx.deployVerticle(host).await();
@@ -101,6 +106,13 @@
     return sum;
   }
 
+  /** Called off the event loops; asks each node where they know each other. */
+  public Datagrams datagrams() {
+    if (!membership) return new Datagrams(0, 0);
+    Map<String, Long> sum = counters();
+    return new Datagrams(sum.getOrDefault("peers_told", 0L), sum.getOrDefault("peers_heard", 0L));
+  }
+
   /** Ends all of them. */
   @Override
   public void close() throws Exception {
--- a/src/main/java/saltlatch/lab/hollow/HollowRun.java
+++ b/src/main/java/saltlatch/lab/hollow/HollowRun.java
@@ -27,9 +27,9 @@
   private static final Gson JSON = new GsonBuilder()
       .setFieldNamingPolicy(FieldNamingPolicy.LOWER_CASE_WITH_UNDERSCORES).create();
 
-  /** What the process has used by then; the heap as it is, before a collection. */
+  /** What the process has used by then; the heap as it is, before a collection; datagrams where nodes know each other. */
   public record Sample(long sampleNanos, long cpuMs, long heapBytes, long rssBytes, int nodes, int withList,
-      long leastIndex, long newestIndex) {}
+      long leastIndex, long newestIndex, long datagramsOut, long datagramsIn) {}
 
   /** At the end: the heap after a collection, with the nodes still in it, and the nodes' counters summed. */
   public record Summary(int summaryOf, long cpuMs, long heldHeapBytes, long rssBytes, int withList,
@@ -90,9 +90,11 @@
 
   private void sample() throws IOException {
     HollowFleet.Progress at = fleet.progress();
+    HollowFleet.Datagrams datagrams = fleet.datagrams();
     long pid = ProcessHandle.current().pid();
     write(new Sample(System.nanoTime(), ProcessFigures.cpu(pid).processMs(), heapBytes(),
-        ProcessFigures.rssBytes(pid), at.nodes(), at.withList(), at.leastIndex(), at.newestIndex()));
+        ProcessFigures.rssBytes(pid), at.nodes(), at.withList(), at.leastIndex(), at.newestIndex(),
+        datagrams.out(), datagrams.in()));
     progress.println("hollow: " + at.withList() + " of " + at.nodes()
         + " nodes have a list, all of them index " + at.leastIndex() + ", newest " + at.newestIndex());
   }
--- /dev/null
+++ b/src/main/java/saltlatch/lab/scale/CounterScale.java
@@ -0,0 +1,50 @@
+package saltlatch.lab.scale;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Requests a second at one real node, with a counter that answers in 0.2 ms: {@code counter.calls}, what the node asks of it
+ * a second (MESSAGES_OUT, BYTES_OUT) and what comes back (BYTES_IN), as the stand-in counts them; COUNT is the requests a
+ * second that the node saw. {@link LoadTrial} tells customers and quotas.
+ */
+final class CounterScale implements ScaleTest {
+  private final LoadTrial trial;
+
+  CounterScale(Bench bench) {
+    trial = new LoadTrial(bench);
+  }
+
+  @Override
+  public String name() {
+    return "counter";
+  }
+
+  @Override
+  public String grows() {
+    return "requests/s at a node";
+  }
+
+  @Override
+  public List<Long> sizes() {
+    return List.of(24L, 80L, 240L, 720L);
+  }
+
+  @Override
+  public Needs needs(long size) {
+    return new Needs(Bench.NODE_BYTES, 1);
+  }
+
+  @Override
+  public Map<String, Values> measure(long size, int repeat) throws Exception {
+    LoadTrial.Node node = trial.node(size, repeat);
+    return Map.of("counter.calls", Values.of(Quantity.MESSAGES_OUT, node.callsPerSecond())
+        .and(Quantity.BYTES_OUT, node.callBytesPerSecond())
+        .and(Quantity.BYTES_IN, node.answerBytesPerSecond()).and(Quantity.COUNT, node.requestsPerSecond()));
+  }
+
+  @Override
+  public String remark() {
+    return "counter: costs are known before (costAfter false), no customer is near its quota, the counter is well.";
+  }
+}
--- /dev/null
+++ b/src/main/java/saltlatch/lab/scale/MemberNetwork.java
@@ -0,0 +1,155 @@
+package saltlatch.lab.scale;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+import saltlatch.api.Event.Members;
+import saltlatch.member.Membership;
+import saltlatch.member.Message;
+import saltlatch.member.Message.State;
+import saltlatch.member.Terms;
+import saltlatch.wire.MemberForm;
+
+/**
+ * A fleet of members over a network in memory, in virtual time (tenths of a ms): {@link Membership} as {@code serve} runs
+ * it, each datagram written and read by its form, up to {@value #MOST_DELAY} on the way, none lost. Every member is looked
+ * at after each tick and datagram as a node does. One caller; the same seed gives the same run.
+ */
+final class MemberNetwork {
+  static final long SECOND = 10_000;
+  private static final int INTAKE = 60; // datagrams a second that a node takes in, as in the lab's scenarios
+  private static final double MOST_DELAY = 20; // 2 ms: within a region
+  private static final long LOOK = 1_000; // between two looks whether a condition holds
+
+  private record Step(long at, long order, Runnable then) {}
+
+  private final Terms terms;
+  private final Membership[] members;
+  private final Members[] told; // as each node has last told its module
+  private final boolean[] dead;
+  private final PriorityQueue<Step> steps = new PriorityQueue<>(
+      (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+  private final SplittableRandom chance;
+  private long order;
+  private long now;
+  private long datagrams;
+  private long bytes;
+  private boolean looking;
+
+  MemberNetwork(int count, long seed) {
+    terms = Terms.of(count, INTAKE);
+    members = new Membership[count];
+    told = new Members[count];
+    dead = new boolean[count];
+    chance = new SplittableRandom(seed);
+    for (int i = 0; i < count; i++) {
+      members[i] = new Membership(terms, i, 1, seed * count + i, now, out(i));
+      tick(i);
+    }
+  }
+
+  private Membership.Out out(int from) {
+    return new Membership.Out() {
+      @Override
+      public void send(int to, Message message) {
+        byte[] datagram = MemberForm.write(message);
+        datagrams++;
+        bytes += datagram.length;
+        after(1 + (long) (MOST_DELAY * chance.nextDouble()), () -> heard(to, from, datagram));
+      }
+
+      @Override
+      public void changed(int member, State state, long incarnation, long version) {
+        // Only a history would be told.
+      }
+    };
+  }
+
+  private void heard(int to, int from, byte[] datagram) {
+    if (dead[to]) return;
+    members[to].tick(now);
+    members[to].heard(now, from, MemberForm.read(datagram));
+    look(to);
+  }
+
+  private void tick(int member) {
+    after(Terms.tick(), () -> {
+      if (dead[member]) return;
+      members[member].tick(now);
+      look(member);
+      tick(member);
+    });
+  }
+
+  /** What a node does to tell its module of changes. */
+  private void look(int member) {
+    if (!looking) return;
+    Members is = members[member].members();
+    if (!is.equals(told[member])) told[member] = is;
+  }
+
+  private void after(long time, Runnable then) {
+    steps.add(new Step(now + time, order++, then));
+  }
+
+  /** Whether members are looked at as nodes do, which costs most: left out where only the protocol's time is wanted. */
+  void look(boolean on) {
+    looking = on;
+  }
+
+  void kill(int member) {
+    dead[member] = true;
+  }
+
+  /** Lets time pass. */
+  void pass(long time) {
+    long until = now + time;
+    while (!steps.isEmpty() && steps.peek().at <= until) {
+      Step step = steps.poll();
+      now = step.at;
+      step.then.run();
+    }
+    now = until;
+  }
+
+  /** Time until the condition holds, or {@code most}; below 0: it did not. */
+  long until(BooleanSupplier condition, long most) {
+    long from = now;
+    while (!condition.getAsBoolean()) {
+      if (now - from >= most) return -1;
+      pass(LOOK);
+    }
+    return now - from;
+  }
+
+  /** All running members hold the same view, with exactly the running ones alive. */
+  boolean agree() {
+    List<Membership> running = new ArrayList<>();
+    for (int i = 0; i < members.length; i++) if (!dead[i]) running.add(members[i]);
+    long digest = running.get(0).digest();
+    return running.stream().allMatch(one -> one.digest() == digest && one.live() == running.size());
+  }
+
+  /** How many of the running members hold that one failed. */
+  int holdFailed(int member) {
+    int holding = 0;
+    for (int i = 0; i < members.length; i++) {
+      if (!dead[i] && members[i].state(member) == State.FAILED) holding++;
+    }
+    return holding;
+  }
+
+  Terms terms() {
+    return terms;
+  }
+
+  long datagrams() {
+    return datagrams;
+  }
+
+  long bytes() {
+    return bytes;
+  }
+}
