--- a/src/main/java/saltlatch/lab/emulator/Emulator.java
+++ b/src/main/java/saltlatch/lab/emulator/Emulator.java
@@ -184,6 +184,8 @@
       m.put("counter_turned_away", counter.turnedAway());
       m.put("discovery_fetches", discovery.fetches());
       m.put("peer_datagrams_carried", relay.carried());
+      m.put("peer_bytes_in", relay.bytesIn());
+      m.put("peer_bytes_out", relay.bytesOut());
       m.put("peer_datagrams_lost", relay.lost());
       return m;
     });
--- a/src/main/java/saltlatch/lab/emulator/PeerRelay.java
+++ b/src/main/java/saltlatch/lab/emulator/PeerRelay.java
@@ -29,6 +29,8 @@
   private DatagramSocket all;
   private long carried;
   private long lost;
+  private long bytesIn;
+  private long bytesOut;
 
   private final Links links;
   private final LabClock clock;
@@ -49,12 +51,16 @@
       nodeByPort.put(ports.get(j), j);
       DatagramSocket d = vertx.createDatagramSocket(new DatagramSocketOptions());
       int to = j;
-      d.handler(p -> forward(p.sender().port(), p.data(), to));
+      d.handler(p -> {
+        bytesIn += p.data().length();
+        forward(p.sender().port(), p.data(), to);
+      });
       out.add(d);
       binds.add(d.listen(0, "127.0.0.1"));
     }
     all = vertx.createDatagramSocket(new DatagramSocketOptions());
     all.handler(p -> {
+      bytesIn += p.data().length();
       for (int j = 0; j < nodePorts.size(); j++) {
         Integer from = nodeByPort.get(p.sender().port());
         if (from != null && from != j) forward(p.sender().port(), p.data(), j);
@@ -77,6 +83,16 @@
     return carried;
   }
 
+  /** Bytes of datagrams that nodes have sent, one to all counted once. */
+  long bytesIn() {
+    return bytesIn;
+  }
+
+  /** Bytes of datagrams sent on to nodes. */
+  long bytesOut() {
+    return bytesOut;
+  }
+
   long lost() {
     return lost;
   }
@@ -97,6 +113,7 @@
   private void send(int from, int to, Buffer data, long delay) {
     Runnable send = () -> {
       carried++;
+      bytesOut += data.length();
       out.get(from).send(data, nodePorts.get(to), "127.0.0.1");
     };
     if (delay == 0) send.run();
--- a/src/main/java/saltlatch/lab/scale/ListScale.java
+++ b/src/main/java/saltlatch/lab/scale/ListScale.java
@@ -11,8 +11,8 @@
 /**
  * App servers in discovery's list, before one real node: {@code list.start} (CPU and time from its start until it has read
  * the list, and a second more in which it applies it; bytes read; heap held after a collection and RSS at its highest, both
- * at the end), {@code list.rest} (a second of a list that does not change) and {@code list.change} (one app server's
- * change, beyond what rest costs). COUNT of the start: lists that it took, 0 where it could not.
+ * at the end; COUNT: lists that it took, 0 where it could not), {@code list.rest} (a second of a list that does not change,
+ * taken or not) and {@code list.change} (one app server's change, beyond what rest costs).
  */
 final class ListScale implements ScaleTest {
   private static final long READ_MS = 20_000; // a list that was not taken by then is not taken
--- a/src/main/java/saltlatch/lab/scale/ScaleRun.java
+++ b/src/main/java/saltlatch/lab/scale/ScaleRun.java
@@ -57,6 +57,7 @@
     for (Map.Entry<String, Long> end : test.ends().entrySet()) {
       write(new Measurement(end.getKey(), test.grows(), end.getValue(), 1,
           Values.of(Quantity.COUNT, end.getValue()).map(), commit));
+      table.println(end.getKey() + ": " + end.getValue() + " " + test.grows());
     }
     progress.println();
     table.println("lab scale " + test.name() + ", " + test.grows() + " " + sizes + ", " + repeats
--- a/src/main/java/saltlatch/lab/scale/Source.java
+++ b/src/main/java/saltlatch/lab/scale/Source.java
@@ -33,8 +33,8 @@
  */
 public final class Source {
   static final long KEEP_ALIVE_MS = 2_000; // an empty line this often on a quiet watch, as the protocol page says
-  private static final long TICK_MS = 1; // between looks whether a change is due
   private static final double NANOS = 1e9; // in a second
+  private static final double MILLIS = 1e3;
   private static final int WATCHER_QUEUE_BYTES = 262_144; // above it a watcher waits until it has read half
   private static final Buffer EMPTY_LINE = Buffer.buffer("\n");
 
@@ -47,6 +47,7 @@
   private double perSecond;
   private long rateFrom; // ns: when the rate was set
   private long changesAtRate; // since then
+  private long nextChange = -1; // its timer; below 0: none
   private Buffer whole; // of the index below
   private long wholeIndex;
   private Buffer newest; // the last change alone
@@ -104,8 +105,7 @@
           bytes.count(connection);
         });
     return server.listen().map(up -> {
-      rateFrom = System.nanoTime();
-      vertx.setPeriodic(TICK_MS, t -> changeWhatIsDue());
+      rate(perSecond);
       vertx.setPeriodic(KEEP_ALIVE_MS, t -> keepAlive());
       return up.actualPort();
     });
@@ -116,6 +116,25 @@
     return vertx.close();
   }
 
+  private void rate(double changesPerSecond) {
+    perSecond = changesPerSecond;
+    rateFrom = System.nanoTime();
+    changesAtRate = 0;
+    if (nextChange >= 0) vertx.cancelTimer(nextChange);
+    nextChange = -1;
+    if (perSecond > 0) armNextChange();
+  }
+
+  /** One timer for the next change alone: a look each ms would cost more than the changes. */
+  private void armNextChange() {
+    double dueMs = (changesAtRate + 1) / perSecond * MILLIS;
+    double pastMs = (System.nanoTime() - rateFrom) / NANOS * MILLIS;
+    nextChange = vertx.setTimer(Math.max(1, Math.round(dueMs - pastMs)), timer -> {
+      changeWhatIsDue();
+      armNextChange();
+    });
+  }
+
   private void changeWhatIsDue() {
     double due = (System.nanoTime() - rateFrom) / NANOS * perSecond;
     while (changesAtRate < Math.floor(due)) {
@@ -180,16 +199,14 @@
         }
       }
       case "/lab/figures" -> response.end(figures() + "\n");
-      case "/lab/rate" -> rate(request);
+      case "/lab/rate" -> takeRate(request);
       default -> response.setStatusCode(404).end();
     }
   }
 
-  private void rate(HttpServerRequest request) {
+  private void takeRate(HttpServerRequest request) {
     try {
-      perSecond = Double.parseDouble(request.getParam("per_second", ""));
-      rateFrom = System.nanoTime();
-      changesAtRate = 0;
+      rate(Double.parseDouble(request.getParam("per_second", "")));
       request.response().end("{\"index\":" + list.index() + "}\n");
     } catch (NumberFormatException e) {
       request.response().setStatusCode(400).end("per_second: " + e.getMessage() + "\n");
--- /dev/null
+++ b/src/main/java/saltlatch/lab/scale/SumsScale.java
@@ -0,0 +1,124 @@
+package saltlatch.lab.scale;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import saltlatch.lab.emulator.Emulator;
+import saltlatch.lab.emulator.LabClock;
+import saltlatch.lab.load.LoadRunner;
+import saltlatch.lab.plan.Offered;
+import saltlatch.lab.rig.ProcessFigures;
+import saltlatch.lab.rig.Processes;
+import saltlatch.lab.scenario.Scenario;
+
+/**
+ * Real nodes that share every customer's quota while the counter says nothing: {@code sums.jam}, of one node a second, the
+ * datagrams and bytes that it tells the others and is told, and its CPU, at 24 requests/s a node. 200 customers; the nodes
+ * do not know each other.
+ */
+final class SumsScale implements ScaleTest {
+  private static final double SECONDS = 16; // of load, the counter silent all the while and beyond
+  private static final long WARM_MS = 8_000; // of it, before anything is read
+  private static final int RATE = 24; // requests/s a node
+  private static final int START_S = 30;
+  private static final double THOUSAND = 1_000; // ms in a second
+  private static final String SCENARIO = """
+      name = "sums"
+      seed = %d
+      seconds = %s
+      nodes = %d
+      [servers]
+      count = 8
+      median_ms = 1.0
+      p99_ms = 1.1
+      [[counter.faults]]
+      kind = "silent"
+      at_s = 0
+      for_s = 60
+      [peers]
+      intake = 60
+      [load]
+      rate = %d
+      customers = 200
+      submit_share = 0.2
+      [plan]
+      rate = %d
+      burst = %d
+      """;
+
+  private final Bench bench;
+
+  SumsScale(Bench bench) {
+    this.bench = bench;
+  }
+
+  @Override
+  public String name() {
+    return "sums";
+  }
+
+  @Override
+  public String grows() {
+    return "nodes";
+  }
+
+  @Override
+  public List<Long> sizes() {
+    return List.of(2L, 4L, 8L, 16L);
+  }
+
+  @Override
+  public Needs needs(long size) {
+    return new Needs(size * Bench.NODE_BYTES, (int) size);
+  }
+
+  @Override
+  public Map<String, Values> measure(long size, int repeat) throws Exception {
+    long rate = RATE * size;
+    Scenario scenario = Scenario.parse(SCENARIO.formatted(repeat, SECONDS, size, rate, rate, 4 * rate));
+    LabClock clock = LabClock.waiting();
+    Emulator emulator = new Emulator(scenario, clock);
+    emulator.start().toCompletionStage().toCompletableFuture().get(START_S, TimeUnit.SECONDS);
+    try (Processes nodes = bench.nodes(emulator::nodeConfig)) {
+      nodes.start((int) size);
+      LoadRunner load = new LoadRunner(scenario, Offered.of(scenario), nodes.ports(), clock);
+      clock.begin();
+      var done = load.run().toCompletionStage().toCompletableFuture();
+      Thread.sleep(WARM_MS);
+      Counts before = Counts.of(nodes, emulator);
+      Thread.sleep((long) (SECONDS * THOUSAND) - WARM_MS);
+      Counts after = Counts.of(nodes, emulator);
+      done.get(START_S, TimeUnit.SECONDS);
+      load.close();
+      return Map.of("sums.jam", after.since(before, size * (SECONDS - WARM_MS / THOUSAND)));
+    } finally {
+      emulator.stop();
+    }
+  }
+
+  /** All nodes' by then: told and heard by their own counters, bytes by the relay between them. */
+  private record Counts(long told, long heard, long bytesTold, long bytesHeard, double cpuMs) {
+    static Counts of(Processes nodes, Emulator emulator) throws Exception {
+      long told = 0;
+      long heard = 0;
+      double cpu = 0;
+      for (int i = 0; i < nodes.ports().size(); i++) {
+        Map<String, Long> figures = nodes.figures(i);
+        told += figures.get("peers_told");
+        heard += figures.get("peers_heard");
+        cpu += ProcessFigures.cpu(nodes.pid(i)).processMs();
+      }
+      Map<String, Long> standIns = emulator.figures().toCompletionStage().toCompletableFuture().get(START_S,
+          TimeUnit.SECONDS);
+      return new Counts(told, heard, standIns.get("peer_bytes_in"), standIns.get("peer_bytes_out"), cpu);
+    }
+
+    Values since(Counts before, double units) {
+      return Values.of(Quantity.MESSAGES_OUT, (told - before.told) / units)
+          .and(Quantity.MESSAGES_IN, (heard - before.heard) / units)
+          .and(Quantity.BYTES_OUT, (bytesTold - before.bytesTold) / units)
+          .and(Quantity.BYTES_IN, (bytesHeard - before.bytesHeard) / units)
+          .and(Quantity.CPU_MS, (cpuMs - before.cpuMs) / units);
+    }
+  }
+}
--- a/src/main/java/saltlatch/lab/scale/WatchersScale.java
+++ b/src/main/java/saltlatch/lab/scale/WatchersScale.java
@@ -19,7 +19,7 @@
   private static final long WHOLE_MS = 180_000; // until all lists are read
   private static final long LOOK_MS = 20;
   private static final double WARM_UP_CHANGES_PER_SECOND = 40; // so that the source's code is compiled
-  private static final long WARM_UP_MS = 3_000;
+  private static final long WARM_UP_MS = 5_000;
   private static final int WARM_UP_WATCHERS = 50; // that read the whole list before it is measured
   private static final long WINDOW_MS = 6_000; // of rest, and of changes: three empty lines
   private static final double CHANGES_PER_SECOND = 5;
