--- /dev/null
+++ b/src/test/java/saltlatch/lab/scale/MembersScaleTest.java
@@ -0,0 +1,42 @@
+package saltlatch.lab.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import saltlatch.member.Terms;
+
+/** The scale test of members: its network in memory plays one seed the same, and its times keep the stated ones. */
+class MembersScaleTest {
+  private static final int MEMBERS = 40;
+
+  @Test
+  void measuresWhatTheTermsState() {
+    Terms terms = new MemberNetwork(MEMBERS, 1).terms();
+    Map<String, Values> measured = new MembersScale().measure(MEMBERS, 1);
+    double failedWithin = (double) terms.failedWithin() / MemberNetwork.SECOND;
+    double failed = measured.get("members.failure").map().get(Quantity.SECONDS);
+    assertTrue(failed > 0 && failed <= failedWithin, failed + " s, stated " + failedWithin);
+    Map<Quantity, Double> rest = measured.get("members.rest").map();
+    assertTrue(rest.get(Quantity.MESSAGES_IN) <= terms.datagramsPerSecond(), rest.toString());
+    assertTrue(rest.get(Quantity.BYTES_IN) <= 256 * rest.get(Quantity.MESSAGES_IN), rest.toString());
+  }
+
+  @Test
+  void playsOneSeedTheSame() {
+    MemberNetwork one = new MemberNetwork(MEMBERS, 7);
+    MemberNetwork other = new MemberNetwork(MEMBERS, 7);
+    assertEquals(one.until(one::agree, 600 * MemberNetwork.SECOND),
+        other.until(other::agree, 600 * MemberNetwork.SECOND));
+    assertTrue(one.agree());
+    assertEquals(one.datagrams(), other.datagrams());
+    assertEquals(one.bytes(), other.bytes());
+  }
+
+  @Test
+  void refusesMoreMembersThanTheMemoryHolds() {
+    Needs many = new MembersScale().needs(20_000);
+    assertTrue(many.bytes() > 60L << 30, many.toString());
+  }
+}
