--- a/src/main/java/saltlatch/lab/scale/ScaleTests.java
+++ b/src/main/java/saltlatch/lab/scale/ScaleTests.java
@@ -10,7 +10,8 @@
   /** In the order of their importance. */
   public static List<ScaleTest> all(Bench bench) {
     return List.of(new ListScale(bench), new WatchersScale(bench), new PlansScale(bench),
-        new CounterScale(bench), new MembersScale(), new RequestsScale(bench), new SumsScale(bench));
+        new CounterScale(bench), new MembersScale(), new RequestsScale(bench), new SumsScale(bench),
+        new HollowScale(bench));
   }
 
   /** The one of that name. */
