--- a/src/main/java/saltlatch/cli/HollowCommand.java
+++ b/src/main/java/saltlatch/cli/HollowCommand.java
@@ -16,12 +16,16 @@
 import saltlatch.lab.hollow.HollowFleet;
 import saltlatch.lab.hollow.HollowRun;
 import saltlatch.lab.hollow.NodeConfig;
+import saltlatch.lab.scale.Machine;
+import saltlatch.lab.scale.Needs;
 
 /** {@code lab hollow}: the control part of many edge nodes in this process, following one discovery or relay. */
 @Command(name = "hollow", mixinStandardHelpOptions = true, subcommands = {
     HollowCompareCommand.class}, description = "Run the control part of many "
         + "edge nodes in this process: discovery, list and membership, no data path.")
 final class HollowCommand implements Callable<Integer> {
+  private static final int REFUSED = 2; // exit code
+
   @Spec CommandSpec spec;
 
   @Option(names = "--nodes", description = "hollow nodes in this process") int nodes;
@@ -54,6 +58,12 @@
       throw new ParameterException(spec.commandLine(),
           "--nodes N from 1, --discovery HOST:PORT, --loops from 1");
     }
+    try {
+      Machine.here().admit("lab hollow", nodes, new Needs(Runtime.getRuntime().maxMemory(), 0));
+    } catch (Machine.TooMuch e) {
+      System.err.println("saltlatch " + e.getMessage() + " (-Xmx sets it)");
+      return REFUSED;
+    }
     int all = of > 0 ? of : first + nodes;
     List<NodeConfig> configs = IntStream.range(first, first + nodes)
         .mapToObj(number -> new NodeConfig(number, all, discovery, membership, peerPort, 1)).toList();
--- a/src/main/java/saltlatch/lab/hollow/HollowFleet.java
+++ b/src/main/java/saltlatch/lab/hollow/HollowFleet.java
@@ -115,8 +115,8 @@
 
   /** Ends all of them. */
   @Override
-  public void close() throws Exception {
+  public void close() {
     nodes.forEach(HollowNode::stop);
-    vertx.close().toCompletionStage().toCompletableFuture().get(STOP_S, TimeUnit.SECONDS);
+    vertx.close().toCompletionStage().toCompletableFuture().orTimeout(STOP_S, TimeUnit.SECONDS).join();
   }
 }
--- a/src/main/java/saltlatch/lab/scale/Watchers.java
+++ b/src/main/java/saltlatch/lab/scale/Watchers.java
@@ -90,7 +90,7 @@
   }
 
   @Override
-  public void close() throws Exception {
-    vertx.close().toCompletionStage().toCompletableFuture().get();
+  public void close() {
+    vertx.close().toCompletionStage().toCompletableFuture().join();
   }
 }
