--- a/src/main/java/saltlatch/cli/HollowCommand.java
+++ b/src/main/java/saltlatch/cli/HollowCommand.java
@@ -20,8 +20,8 @@
 import saltlatch.lab.scale.Needs;
 
 /** {@code lab hollow}: the control part of many edge nodes in this process, following one discovery or relay. */
-@Command(name = "hollow", mixinStandardHelpOptions = true, subcommands = {
-    HollowCompareCommand.class}, description = "Run the control part of many "
+@Command(name = "hollow", mixinStandardHelpOptions = true, subcommands = {HollowCompareCommand.class},
+    description = "Run the control part of many "
         + "edge nodes in this process: discovery, list and membership, no data path.")
 final class HollowCommand implements Callable<Integer> {
   private static final int REFUSED = 2; // exit code
@@ -38,17 +38,17 @@
 
   @Option(names = "--loops", defaultValue = "1", description = "event loops (${DEFAULT-VALUE})") int loops;
 
-  @Option(names = "--start-over-seconds", defaultValue = "0", description = "time over which they start; "
-      + "0: all at once") double startOverSeconds;
+  @Option(names = "--start-over-seconds", defaultValue = "0",
+      description = "time over which they start; 0: all at once") double startOverSeconds;
 
-  @Option(names = "--seconds", defaultValue = "0", description = "time that it runs for; 0: until it is "
-      + "ended by SIGTERM") double seconds;
+  @Option(names = "--seconds", defaultValue = "0",
+      description = "time that it runs for; 0: until it is ended by SIGTERM") double seconds;
 
   @Option(names = "--membership", description = "the nodes know each other; wants --of where the fleet has "
       + "several processes") boolean membership;
 
-  @Option(names = "--peer-port", defaultValue = "20000", description = "datagram port of node 0, the others' "
-      + "follow (${DEFAULT-VALUE})") int peerPort;
+  @Option(names = "--peer-port", defaultValue = "20000",
+      description = "datagram port of node 0, the others' follow (${DEFAULT-VALUE})") int peerPort;
 
   @Option(names = "--report", description = "file for JSON lines; else standard output") Path report;
 
--- a/src/main/java/saltlatch/cli/HollowCompareCommand.java
+++ b/src/main/java/saltlatch/cli/HollowCompareCommand.java
@@ -17,10 +17,11 @@
 final class HollowCompareCommand implements Callable<Integer> {
   private static final int DIFFERENT = 1; // exit code
 
-  @Option(names = "--sizes", split = ",", defaultValue = "1,5,20", description = "nodes (${DEFAULT-VALUE})") List<Integer> sizes;
+  @Option(names = "--sizes", split = ",", defaultValue = "1,5,20",
+      description = "nodes (${DEFAULT-VALUE})") List<Integer> sizes;
 
-  @Option(names = "--out", defaultValue = "docs/capacity/hollow-vs-real.md", description = "page to write "
-      + "(${DEFAULT-VALUE})") Path out;
+  @Option(names = "--out", defaultValue = "docs/capacity/hollow-vs-real.md",
+      description = "page to write (${DEFAULT-VALUE})") Path out;
 
   @Option(names = "--dir", defaultValue = "target/hollow", description = "configurations and logs") Path dir;
 
--- a/src/main/java/saltlatch/cli/SourceCommand.java
+++ b/src/main/java/saltlatch/cli/SourceCommand.java
@@ -26,7 +26,8 @@
 
   @Spec CommandSpec spec;
 
-  @Option(names = "--entries", defaultValue = "34000", description = "app servers in the list (${DEFAULT-VALUE})") int entries;
+  @Option(names = "--entries", defaultValue = "34000",
+      description = "app servers in the list (${DEFAULT-VALUE})") int entries;
 
   @Option(names = "--changes-per-second", defaultValue = "0", description = "entries that change a second; "
       + "POST /lab/rate?per_second=R sets another") double changesPerSecond;
@@ -34,11 +35,13 @@
   @Option(names = "--listen", defaultValue = "127.0.0.1:0", description = "HOST:PORT; port 0 takes a free "
       + "one, which the line that it prints tells") String listen;
 
-  @Option(names = "--puts", description = "file for the time of each change: lines of index and put_ns (monotonic)") Path puts;
+  @Option(names = "--puts",
+      description = "file for the time of each change: lines of index and put_ns (monotonic)") Path puts;
 
   @Option(names = "--seed", defaultValue = "1", description = "seed of the choice of what changes") long seed;
 
-  @Option(names = "--series", description = "tell the list's identity, its start in Unix ms, in each message") boolean series;
+  @Option(names = "--series",
+      description = "tell the list's identity, its start in Unix ms, in each message") boolean series;
 
   @Override
   public Integer call() throws Exception {
--- a/src/main/java/saltlatch/lab/hollow/HollowFleet.java
+++ b/src/main/java/saltlatch/lab/hollow/HollowFleet.java
@@ -14,7 +14,7 @@
 import saltlatch.api.Gateway;
 import saltlatch.lab.rig.Processes;
 import saltlatch.node.HollowNode;
-import saltlatch.node.Station;
+import saltlatch.node.NodeConfiguration;
 
 /** Hollow nodes of one process: the control part of many edge nodes on a few event loops, with no data path. */
 public final class HollowFleet implements AutoCloseable {
@@ -50,17 +50,17 @@
   /** Owns the context that a node lives on. */
   private final class Host extends VerticleBase {
     private final String name;
-    private final Station station;
+    private final NodeConfiguration configuration;
     private HollowNode node;
 
     Host(NodeConfig config) {
       name = NodeConfig.name(config.number());
-      station = Station.of(config.json());
+      configuration = NodeConfiguration.of(config.json());
     }
 
     @Override
     public Future<?> start() {
-      node = new HollowNode(vertx, context, station);
+      node = new HollowNode(vertx, context, configuration);
       node.onListed(index -> applied.add(new Applied(name, index, System.nanoTime())));
       return Future.succeededFuture();
     }
--- a/src/main/java/saltlatch/node/Serve.java
+++ b/src/main/java/saltlatch/node/Serve.java
@@ -21,7 +21,7 @@
 import saltlatch.state.Counters;
 import saltlatch.state.Counters.Count;
 import saltlatch.state.HeapFull;
-import saltlatch.wire.Door;
+import saltlatch.wire.ClientListener;
 
 /** Start and stop of one edge node. */
 public final class Serve {
@@ -35,29 +35,33 @@
 
   final Vertx vertx;
   final Context loop;
-  private final Station station;
+  private final NodeConfiguration configuration;
   private final Counters counters = new Counters();
   private final Pilot pilot;
-  private final Door door;
+  private final ClientListener listener;
   private final History history; // null: the configuration names no directory for it
   private final Promise<Void> begun = Promise.promise(); // what a new configuration changes is there
   private boolean stopping;
 
-  Serve(Station station) {
-    this.station = station;
-    vertx = Vertx.vertx(new VertxOptions().setPreferNativeTransport(true) // NIO's timers spin for half a ms each
-        .setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
-        .setBlockedThreadCheckInterval(TimeUnit.HOURS.toMillis(1)).setFileSystemOptions(
-            new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+  Serve(NodeConfiguration configuration) {
+    this.configuration = configuration;
+    vertx = OneLoop.of(Vertx.builder()).with(options()).build();
     vertx.exceptionHandler(this::unexpected);
     loop = vertx.getOrCreateContext();
     loop.exceptionHandler(this::unexpected);
-    history = station.history() == null ? null : new History(station.history(), station.name(),
-        ProcessHandle.current().pid() + "-" + System.nanoTime());
-    if (history != null) history.add("started", "nodes", station.site().nodes());
-    pilot = new Pilot(vertx, loop, station, counters, station.memoryMb() * 1024L * 1024 / BYTES_PART,
-        history);
-    door = new Door(vertx, pilot, pilot, counters, station.clientLinks());
+    history = configuration.history() == null ? null : new History(configuration.history(),
+        configuration.name(), ProcessHandle.current().pid() + "-" + System.nanoTime());
+    if (history != null) history.add("started", "nodes", configuration.site().nodes());
+    pilot = new Pilot(vertx, loop, configuration, counters,
+        configuration.memoryMb() * 1024L * 1024 / BYTES_PART, history);
+    listener = new ClientListener(vertx, pilot, pilot, counters, configuration.clientLinks());
+  }
+
+  private static VertxOptions options() {
+    return new VertxOptions().setPreferNativeTransport(true) // NIO's timers spin for half a ms each
+        .setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
+        .setBlockedThreadCheckInterval(TimeUnit.HOURS.toMillis(1)).setFileSystemOptions(
+            new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false));
   }
 
   /** Returns a code to end with, or 0 once the node serves. */
@@ -65,7 +69,7 @@
     Hangups hangups = new Hangups();
     Serve serve;
     try {
-      serve = new Serve(Station.of(Files.readString(Path.of(path))));
+      serve = new Serve(NodeConfiguration.of(Files.readString(Path.of(path))));
     } catch (IOException | RuntimeException | OutOfMemoryError e) {
       err.println("saltlatch serve: configuration " + path + ": " + HeapFull.explain(e));
       return 2;
@@ -76,7 +80,7 @@
     try {
       serve.start(maker).toCompletionStage().toCompletableFuture().get();
     } catch (ExecutionException | InterruptedException e) {
-      err.println("saltlatch serve: " + serve.station.listen() + ": " + HeapFull.explain(e.getCause()));
+      err.println("saltlatch serve: " + serve.configuration.listen() + ": " + HeapFull.explain(e.getCause()));
       return HeapFull.isCauseOf(e) ? 2 : 3;
     }
     return 0;
@@ -101,7 +105,7 @@
   public static Future<Embedded> embedded(Gateway.Maker maker, String json) {
     Serve serve;
     try {
-      serve = new Serve(Station.of(json));
+      serve = new Serve(NodeConfiguration.of(json));
     } catch (RuntimeException e) {
       return Future.failedFuture(e);
     }
@@ -145,10 +149,10 @@
         open.fail(e);
         return;
       }
-      door.open(station.listen()).onFailure(open::fail).onSuccess(done -> {
+      listener.open(configuration.listen()).onFailure(open::fail).onSuccess(done -> {
         if (stopping) return; // it never was ready: nobody counts on it
-        door.ready();
-        LOG.info("{} serves on {}", station.name(), station.listen());
+        listener.ready();
+        LOG.info("{} serves on {}", configuration.name(), configuration.listen());
         if (history != null) history.add("ready");
         open.complete();
         pilot.follow();
@@ -159,15 +163,15 @@
 
   /** SIGHUP has the configuration read again, and a bad one leaves all as it is. */
   void rereadOn(Hangups hangups, Path path) {
-    hangups.then(() -> loop
-        .runOnContext(v -> vertx.executeBlocking(() -> Station.of(Files.readString(path))).onFailure(e -> {
+    hangups.then(() -> loop.runOnContext(
+        v -> vertx.executeBlocking(() -> NodeConfiguration.of(Files.readString(path))).onFailure(e -> {
           counters.add(Count.RELOADS_FAILED);
           LOG.warn("configuration {} can't be used, the old one stays: {}", path, e.toString());
         }).onSuccess(to -> begun.future().onSuccess(b -> pilot.move(to))))); // one that comes early waits for the start
   }
 
   int port() {
-    return door.port();
+    return listener.port();
   }
 
   /**
@@ -179,7 +183,7 @@
   Future<Void> stop() {
     long longest = 0;
     long target = 0;
-    for (Site.Frontend f : station.site().frontends()) {
+    for (Site.Frontend f : configuration.site().frontends()) {
       longest = Math.max(longest, f.clientTimeout() / 10);
       target = Math.max(target, f.target() / 10);
     }
@@ -189,16 +193,16 @@
     Promise<Void> done = Promise.promise();
     loop.runOnContext(v -> {
       stopping = true;
-      vertx.setTimer(turn, t -> door.closeWhenAnswered());
+      vertx.setTimer(turn, t -> listener.closeWhenAnswered());
       vertx.setTimer(end, t -> {
-        door.refuse();
+        listener.refuse();
         pilot.leave();
       });
       vertx.setPeriodic(LATE_MS, LOOK_MS, look -> {
-        if (door.isRefusing()) door.closeIdle(); // also those that came since the last look
-        if (door.links() > 0) return;
+        if (listener.isRefusing()) listener.closeIdle(); // also those that came since the last look
+        if (listener.links() > 0) return;
         vertx.cancelTimer(look);
-        door.refuse(); // what comes while all is being closed is not sent on
+        listener.refuse(); // what comes while all is being closed is not sent on
         pilot.leave();
         done.complete();
       });
--- a/src/main/java/saltlatch/wire/ClientLink.java
+++ b/src/main/java/saltlatch/wire/ClientLink.java
@@ -16,25 +16,25 @@
   private static final int LINGER_BYTES = 128 * 1024; // of what crosses: two of the longest commands
 
   /** The place of one command's answer in the order. */
-  private final class Place implements Exchange.Client {
+  private final class PendingReply implements Exchange.Client {
     private Exchange x;
     private Buffer answer;
 
     @Override
     public void passed(byte[] value) {
-      door.counters().add(Count.ANSWERED_PASSED);
+      listener.counters().add(Count.ANSWERED_PASSED);
       fill(Answer.passed(value));
     }
 
     @Override
     public void denied(long pauseMs) {
-      door.counters().add(Count.ANSWERED_DENIED);
+      listener.counters().add(Count.ANSWERED_DENIED);
       fill(Answer.line(pauseMs > 0 ? "-BUSY " + pauseMs : "-BUSY"));
     }
 
     @Override
     public void aborted() {
-      door.counters().add(Count.ANSWERED_ABORTED);
+      listener.counters().add(Count.ANSWERED_ABORTED);
       fill(Answer.line("-ERR aborted"));
     }
 
@@ -54,10 +54,10 @@
     }
   }
 
-  private final Door door;
+  private final ClientListener listener;
   private final NetSocket socket;
   private final RespReader in = new RespReader();
-  private final ArrayDeque<Place> owed = new ArrayDeque<>();
+  private final ArrayDeque<PendingReply> owed = new ArrayDeque<>();
   private boolean broken; // its framing is lost: nothing more is read
   private boolean closed;
   private boolean reading; // what came is being taken, command by command
@@ -65,12 +65,12 @@
   private int crossed; // bytes that came after this side's end
   private long usedAt; // acceptance, the last whole command, or the first byte of the next one
 
-  ClientLink(Door door, NetSocket socket) {
-    this.door = door;
+  ClientLink(ClientListener listener, NetSocket socket) {
+    this.listener = listener;
     this.socket = socket;
-    usedAt = door.desk().now();
+    usedAt = listener.scheduler().now();
     socket.handler(this::read);
-    socket.exceptionHandler(e -> door.counters().add(Count.CLIENTS_BROKEN));
+    socket.exceptionHandler(e -> listener.counters().add(Count.CLIENTS_BROKEN));
     socket.closeHandler(v -> ended());
     socket.drainHandler(v -> resume());
   }
@@ -86,7 +86,7 @@
   /** At once: whatever is unread makes the system reset the connection, and the client sends that again elsewhere. */
   void close() {
     closed = true;
-    door.gone(this);
+    listener.gone(this);
     Closing.atOnce(socket);
   }
 
@@ -97,28 +97,33 @@
    */
   private void linger() {
     closed = true;
-    door.lingers(this);
-    endsWithin(door.isRefusing() ? LINGER : UNTAKEN);
+    listener.lingers(this);
+    endsWithin(listener.isRefusing() ? LINGER : UNTAKEN);
     socket.handler(more -> {
       crossed += more.length();
       if (crossed > LINGER_BYTES) Closing.atOnce(socket);
     });
-    if (broken) socket.resume();
-    else socket.pause();
+    takeWhatCrosses();
     socket.write(Buffer.buffer()).onComplete(v -> { // behind the answers
+      takeWhatCrosses(); // once more: behind what was pending the library reads again
       Closing.ownSide(socket);
       endsWithin(LINGER);
     });
   }
 
+  private void takeWhatCrosses() {
+    if (broken) socket.resume();
+    else Closing.leaveUnread(socket);
+  }
+
   private void endsWithin(long time) {
-    door.desk().at(door.desk().now() + time, () -> Closing.atOnce(socket));
+    listener.scheduler().at(listener.scheduler().now() + time, () -> Closing.atOnce(socket));
   }
 
   /** Ends it if it has sent no whole command, or half of one, since long before. */
   void closeIfMute(long since) {
     if (closed || usedAt > since || !owed.isEmpty() || spoke && in.isEmpty()) return;
-    door.counters().add(Count.CLIENTS_MUTE);
+    listener.counters().add(Count.CLIENTS_MUTE);
     broken = true;
     if (in.isEmpty()) close();
     else say("-ERR command incomplete");
@@ -129,23 +134,24 @@
   }
 
   void abandon() {
-    List.copyOf(owed).stream().filter(Place::waits).forEach(place -> door.host().abandon(place.x));
+    List.copyOf(owed).stream().filter(PendingReply::waits)
+        .forEach(pendingReply -> listener.host().abandon(pendingReply.x));
   }
 
   private void read(Buffer more) {
     if (broken || closed) return;
-    if (in.isEmpty()) usedAt = door.desk().now();
+    if (in.isEmpty()) usedAt = listener.scheduler().now();
     in.feed(more);
     reading = true;
     try {
       for (Resp command = in.next(); command != null; command = in.next()) {
-        usedAt = door.desk().now();
+        usedAt = listener.scheduler().now();
         spoke = true;
-        door.spoke(this);
+        listener.spoke(this);
         take(command);
       }
     } catch (RespReader.Lost e) {
-      door.counters().add(Count.COMMANDS_LOST_FRAMING);
+      listener.counters().add(Count.COMMANDS_LOST_FRAMING);
       broken = true;
       say("-ERR Protocol error: " + e.getMessage());
     }
@@ -161,34 +167,34 @@
     if (verb.startsWith("SVC.")) {
       serve(Request.of(words));
     } else if (verb.equalsIgnoreCase("PING")) {
-      say(door.isReady() ? "+PONG" : "-ERR not ready");
+      say(listener.isReady() ? "+PONG" : "-ERR not ready");
     } else if (verb.equalsIgnoreCase("INFO")) {
-      place().fill(Answer.passed(door.host().figures().getBytes(StandardCharsets.ISO_8859_1)));
+      pendingReply().fill(Answer.passed(listener.host().figures().getBytes(StandardCharsets.ISO_8859_1)));
     } else {
-      door.counters().add(Count.COMMANDS_UNKNOWN);
+      listener.counters().add(Count.COMMANDS_UNKNOWN);
       say("-ERR unknown command");
     }
   }
 
   private void serve(Request req) {
     if (req == null) {
-      door.counters().add(Count.COMMANDS_MALFORMED);
+      listener.counters().add(Count.COMMANDS_MALFORMED);
       say("-ERR malformed command");
       return;
     }
-    Place place = place();
-    if (door.isRefusing()) place.denied(0);
-    else place.x = door.host().arrived(req, place);
+    PendingReply pendingReply = pendingReply();
+    if (listener.isRefusing()) pendingReply.denied(0);
+    else pendingReply.x = listener.host().arrived(req, pendingReply);
   }
 
-  private Place place() {
-    Place place = new Place();
-    owed.add(place);
-    return place;
+  private PendingReply pendingReply() {
+    PendingReply pendingReply = new PendingReply();
+    owed.add(pendingReply);
+    return pendingReply;
   }
 
   private void say(String line) {
-    place().fill(Answer.line(line));
+    pendingReply().fill(Answer.line(line));
   }
 
   private void flush() {
@@ -201,7 +207,7 @@
   /** Guards, while this node ends, against commands that were read with the one just answered: they get their answers too. */
   private void endIfDue() {
     if (closed || reading || !owed.isEmpty()) return;
-    if (broken || door.isClosing() && in.isEmpty()) linger();
+    if (broken || listener.isClosing() && in.isEmpty()) linger();
   }
 
   private void resume() {
@@ -212,9 +218,9 @@
 
   private void ended() {
     closed = true;
-    door.ended(this);
-    for (Place place : owed) {
-      if (place.waits()) door.host().left(place.x);
+    listener.ended(this);
+    for (PendingReply pendingReply : owed) {
+      if (pendingReply.waits()) listener.host().left(pendingReply.x);
     }
     owed.clear();
   }
