--- a/src/main/java/saltlatch/cli/Commands.java
+++ b/src/main/java/saltlatch/cli/Commands.java
@@ -14,7 +14,7 @@
  */
 @Command(name = "saltlatch", mixinStandardHelpOptions = true, version = "saltlatch 0.2.0", description = "A quota-keeping gateway for a shared API, and its laboratory.", subcommands = {
     Commands.ServeCommand.class, Commands.SimHostCommand.class, EmulateCommand.class, LoadCommand.class,
-    ReportCommand.class, LabCommand.class})
+    ReportCommand.class, LabCommand.class, RelayCommand.class})
 public final class Commands implements Runnable {
 
   /** True for the subcommands whose work goes on after {@code main} returns. */
--- /dev/null
+++ b/src/main/java/saltlatch/relay/Relay.java
@@ -0,0 +1,219 @@
+package saltlatch.relay;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import saltlatch.distribution.Actions;
+import saltlatch.distribution.Distributor;
+import saltlatch.distribution.Distributor.Failure;
+import saltlatch.distribution.Message;
+import saltlatch.distribution.Status;
+import saltlatch.distribution.Update;
+import saltlatch.distribution.Version;
+
+/**
+ * One relay on one event loop: turns sockets into events of a {@link Distributor} and its actions into sockets. What to do is
+ * decided there alone.
+ */
+public final class Relay {
+  private static final Logger LOG = LoggerFactory.getLogger(Relay.class);
+  private static final int CONNECT_MS = 2_000; // an upstream is a machine or two away
+  private static final int MAX_CHUNK_BYTES = 64 * 1024; // of an upstream's answer, read in one turn of the loop
+  private static final long FIGURES_MS = 60_000; // between lines of figures in the log
+
+  private final RelayConfig config;
+  private final LongSupplier clock;
+  private final Vertx vertx;
+  private final Context loop;
+  private final HttpClient client;
+  private final Distributor distributor;
+  private final WatcherServer server;
+  private final Deque<Runnable> events = new ArrayDeque<>(); // those that came while one was being told
+  private boolean telling;
+  private UpstreamWatch watch; // null while none is open
+  private long timer = -1;
+  private long timerDue = Long.MAX_VALUE;
+
+  /** A relay that is not started yet. */
+  public Relay(RelayConfig config) {
+    this(config, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+  }
+
+  /** A relay by another clock: monotonic, in ms. */
+  Relay(RelayConfig config, LongSupplier clock) {
+    this.config = config;
+    this.clock = clock;
+    vertx = Vertx.vertx(new VertxOptions().setPreferNativeTransport(true).setEventLoopPoolSize(1)
+        .setWorkerPoolSize(1).setInternalBlockingPoolSize(1).setFileSystemOptions(
+            new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+    loop = vertx.getOrCreateContext();
+    loop.exceptionHandler(e -> LOG.error("unexpected", e));
+    client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_MS)
+        .setMaxChunkSize(MAX_CHUNK_BYTES).setDecompressionSupported(false).setIdleTimeout(0));
+    distributor = new Distributor(config.limits(), config.upstreams().size(), config.seed(), actions);
+    server = new WatcherServer(vertx, loop, config.limits().watchers(), clock, this::figures, watcherEvents);
+  }
+
+  /** Listens, then follows; failed if it can't listen. */
+  public Future<Void> start() {
+    Promise<Void> listening = Promise.promise();
+    loop.runOnContext(v -> server.listen(config.listen()).onComplete(listening));
+    return listening.future().onSuccess(v -> loop.runOnContext(x -> {
+      LOG.info("{} serves on port {}", config.name(), server.port());
+      vertx.setPeriodic(FIGURES_MS, t -> logFigures());
+      tell(() -> distributor.start(now()));
+    }));
+  }
+
+  /** The port it listens on. */
+  public int port() {
+    return server.port();
+  }
+
+  /** Its figures, a {@code name=value} line each. */
+  public Future<String> info() {
+    Promise<String> text = Promise.promise();
+    loop.runOnContext(v -> text.complete(figures()));
+    return text.future();
+  }
+
+  /** Ends all watches, then the loop. */
+  public Future<Void> stop() {
+    Promise<Void> stopped = Promise.promise();
+    loop.runOnContext(v -> {
+      tell(() -> distributor.stop(now()));
+      logFigures();
+      stopped.complete();
+    });
+    return stopped.future().compose(v -> vertx.close());
+  }
+
+  /** Looks at the clock, as a timer would: for a clock that was put on. */
+  void wake() {
+    loop.runOnContext(v -> tell(() -> distributor.tick(now())));
+  }
+
+  private long now() {
+    return clock.getAsLong();
+  }
+
+  private void logFigures() {
+    LOG.info("{}", figures().strip().replace('\n', ' '));
+  }
+
+  private String figures() {
+    Status status = distributor.status(now());
+    String upstream = status.upstream() < 0 ? "none" : config.upstreams().get(status.upstream()).toString();
+    return RelayFigures.text(status, upstream, server);
+  }
+
+  /** Tells one event after the other: what an action brings about at once comes behind the event that caused it. */
+  private void tell(Runnable event) {
+    events.add(event);
+    if (telling) return;
+    telling = true;
+    try {
+      for (Runnable next = events.poll(); next != null; next = events.poll()) next.run();
+    } finally {
+      telling = false;
+    }
+    setTimer();
+  }
+
+  private void setTimer() {
+    long due = distributor.nextTick();
+    if (due >= timerDue) return;
+    if (timer >= 0) vertx.cancelTimer(timer);
+    timerDue = due;
+    timer = vertx.setTimer(Math.max(1, due - now()), t -> {
+      timer = -1;
+      timerDue = Long.MAX_VALUE;
+      tell(() -> distributor.tick(now()));
+    });
+  }
+
+  private final Actions actions = new Actions() {
+    @Override
+    public void openUpstream(int upstream, Version since) {
+      if (watch != null) watch.close();
+      watch = new UpstreamWatch(loop, upstream, config.limits().entries(), upstreamEvents);
+      watch.open(client, config.upstreams().get(upstream), since);
+    }
+
+    @Override
+    public void closeUpstream(int upstream, Reason reason) {
+      LOG.info("watch at {} ended: {}", config.upstreams().get(upstream), reason);
+      if (watch != null) watch.close();
+      watch = null;
+    }
+
+    @Override
+    public void send(long watcher, Message message) {
+      server.send(watcher, message);
+    }
+
+    @Override
+    public void closeWatcher(long watcher, Reason reason) {
+      if (reason == Reason.TOO_MANY_WATCHERS) server.refuse(watcher);
+      else server.close(watcher, reason == Reason.STOPPING);
+    }
+  };
+
+  private final UpstreamWatch.Host upstreamEvents = new UpstreamWatch.Host() {
+    @Override
+    public void opened(int upstream) {
+      LOG.info("follows {}", config.upstreams().get(upstream));
+      tell(() -> distributor.upstreamOpened(upstream, now()));
+    }
+
+    @Override
+    public void told(int upstream, Update update) {
+      tell(() -> distributor.upstreamTold(upstream, update, now()));
+    }
+
+    @Override
+    public void alive(int upstream) {
+      tell(() -> distributor.upstreamAlive(upstream, now()));
+    }
+
+    @Override
+    public void failed(int upstream, Failure failure, String cause) {
+      LOG.info("watch at {} failed: {}: {}", config.upstreams().get(upstream), failure, cause);
+      watch = null;
+      tell(() -> distributor.upstreamFailed(upstream, failure, now()));
+    }
+  };
+
+  private final WatcherServer.Host watcherEvents = new WatcherServer.Host() {
+    @Override
+    public void opened(long watcher, Version since) {
+      tell(() -> distributor.watcherOpened(watcher, since, now()));
+    }
+
+    @Override
+    public void drained(long watcher) {
+      tell(() -> distributor.watcherDrained(watcher, now()));
+    }
+
+    @Override
+    public void progressed(long watcher) {
+      tell(() -> distributor.watcherProgressed(watcher, now()));
+    }
+
+    @Override
+    public void closed(long watcher) {
+      tell(() -> distributor.watcherClosed(watcher, now()));
+    }
+  };
+}
--- /dev/null
+++ b/src/test/java/saltlatch/relay/TestUpstream.java
@@ -0,0 +1,115 @@
+package saltlatch.relay;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/** Discovery, or a relay above, of which the test's thread writes every byte. */
+final class TestUpstream implements AutoCloseable {
+  private final ServerSocket server;
+  private Socket watch;
+
+  TestUpstream() throws IOException {
+    this(0);
+  }
+
+  TestUpstream(int port) throws IOException {
+    server = new ServerSocket(port, 50, InetAddress.getByName("127.0.0.1"));
+    server.setSoTimeout(TestWatcher.WAIT_MS);
+  }
+
+  int port() {
+    return server.getLocalPort();
+  }
+
+  /** Takes the next watch, answers it, and gives the path asked for. */
+  String answer() throws IOException {
+    String path = accept();
+    write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    return path;
+  }
+
+  /** Takes the next watch and gives the path asked for. */
+  String accept() throws IOException {
+    watch = server.accept();
+    watch.setSoTimeout(TestWatcher.WAIT_MS);
+    String request = line(watch.getInputStream());
+    for (String header = request; !header.isEmpty();) header = line(watch.getInputStream());
+    return request.split(" ")[1];
+  }
+
+  /** Writes as one chunk. */
+  TestUpstream tell(String text) throws IOException {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    write(Integer.toHexString(bytes.length) + "\r\n");
+    watch.getOutputStream().write(bytes);
+    write("\r\n");
+    return this;
+  }
+
+  void write(String text) throws IOException {
+    watch.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Resets the watch. */
+  void reset() throws IOException {
+    watch.setSoLinger(true, 0);
+    watch.close();
+  }
+
+  /** True once the relay has ended the watch. */
+  boolean isLeft() throws IOException {
+    try {
+      return watch.getInputStream().read() < 0;
+    } catch (java.net.SocketTimeoutException e) {
+      return false;
+    } catch (IOException e) {
+      return true;
+    }
+  }
+
+  static String whole(long index, String... entries) {
+    return list(index, true, entries);
+  }
+
+  static String changes(long index, String... entries) {
+    return list(index, false, entries);
+  }
+
+  static String entry(String name, String status) {
+    return "{\"name\":\"" + name
+        + "\",\"address\":\"10.1.0.18:6379\",\"zone\":\"a\",\"type\":\"m2\",\"group\":3," + "\"status\":\""
+        + status + "\",\"weight\":1.0,\"since_ms\":0}";
+  }
+
+  /** Entries of the size that discovery's have. */
+  static String[] entries(int count) {
+    return IntStream.range(0, count).mapToObj(i -> entry("s-" + i, "Ready")).toArray(String[]::new);
+  }
+
+  private static String list(long index, boolean whole, String... entries) {
+    String all = IntStream.range(0, entries.length).mapToObj(i -> entries[i])
+        .collect(Collectors.joining(","));
+    return "{\"index\":" + index + ",\"snapshot\":" + whole + ",\"endpoints\":[" + all + "]}\n";
+  }
+
+  private static String line(InputStream in) throws IOException {
+    ByteArrayOutputStream line = new ByteArrayOutputStream();
+    for (int b = in.read(); b >= 0 && b != '\n'; b = in.read()) {
+      if (b != '\r') line.write(b);
+    }
+    return line.toString(StandardCharsets.ISO_8859_1);
+  }
+
+  @Override
+  public void close() throws IOException {
+    if (watch != null) watch.close();
+    server.close();
+  }
+}
