--- a/src/main/java/saltlatch/relay/EncodedMessage.java
+++ b/src/main/java/saltlatch/relay/EncodedMessage.java
@@ -1,6 +1,7 @@
 package saltlatch.relay;
 
 import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
@@ -99,11 +100,10 @@
     nextEntry++;
   }
 
-  /** A removed entry says so also if no source has worded it, since it was only missing in a whole list. */
+  /** A removed entry says so, also where it was only missing in a whole list and its JSON is the last that was heard. */
   private static String goneJson(Entry entry) {
-    if (!entry.json().isEmpty()) return entry.json();
-    JsonObject json = new JsonObject();
-    json.addProperty("name", entry.name());
+    JsonObject json = JsonParser.parseString(entry.json()).getAsJsonObject();
+    if (json.get("status").getAsString().equalsIgnoreCase("Gone")) return entry.json();
     json.addProperty("status", "Gone");
     return json.toString();
   }
--- a/src/main/java/saltlatch/relay/WatchParser.java
+++ b/src/main/java/saltlatch/relay/WatchParser.java
@@ -110,8 +110,11 @@
       else if (b == '"') quoted = false;
       return;
     }
-    boolean lineBreak = b == '\n' || b == '\r';
-    if (lineBreak || !inList && isSpace(b)) return;
+    if (isSpace(b)) {
+      keepSpace();
+      return;
+    }
+    if (!inList && b == ':') dropSpace();
     keep(b);
     if (b == '"') quoted = true;
     else if (b == '{' || b == '[') open(b);
@@ -160,6 +163,19 @@
     }
   }
 
+  /** Lines that were broken become one; around the entries as little is kept as tells two values apart. */
+  private void keepSpace() throws MalformedWatchException {
+    if (inList || !isOneOf(envelope[envelopeLength - 1], " {[,:")) keep((byte) ' ');
+  }
+
+  private void dropSpace() {
+    if (envelope[envelopeLength - 1] == ' ') envelopeLength--;
+  }
+
+  private static boolean isOneOf(byte b, String bytes) {
+    return bytes.indexOf(b) >= 0;
+  }
+
   private void countByte() throws MalformedWatchException {
     if (++lineBytes > maxLineBytes) throw new MalformedWatchException("more than " + maxLineBytes + " bytes");
   }
--- a/src/test/java/saltlatch/relay/RelayConfigTest.java
+++ b/src/test/java/saltlatch/relay/RelayConfigTest.java
@@ -48,7 +48,7 @@
       "'entries':6,'entries':'6',limits.entries", "log_changes,log_change,limits.log_change is unknown",
       "'snapshot_bytes_per_second':8,'snapshot_bytes_per_second':1e99,limits.snapshot_bytes_per_second",
       "'seed':9,'seed':true,seed", "'name':'r0','name':{},name", "upstreams,upstream,upstream is unknown",
-      "'limits':{,'limits':[{,no JSON", "}},}},x,no JSON"})
+      "'limits':{,'limits':[{,no JSON", "'seed':9},'seed':9,no JSON"})
   void namesTheKey(String part, String replacement, String named) {
     assertTrue(GOOD.contains(part), part);
     InvalidConfigException e = assertThrows(InvalidConfigException.class,
--- a/src/test/java/saltlatch/relay/WatchParserTest.java
+++ b/src/test/java/saltlatch/relay/WatchParserTest.java
@@ -47,8 +47,9 @@
   /** Wherever the stream is cut, entries are the very text that came. */
   @Test
   void anyPieces() throws Exception {
-    String gone = "{\"status\":\"Gone\",\"name\":\"s-2\"}";
-    String indented = line(STRANGE + " ,\n  " + gone).replace(",\"snapshot\"", ",\n  \"snapshot\"");
+    String gone = "{\"status\":\"Gone\", \"name\":\"s-2\"}";
+    String indented = line(STRANGE + " ,\n  " + gone.replace(' ', '\n'))
+        .replace(",\"snapshot\"", ",\n  \"snapshot\" ").replace(":[{\"name\"", " :\n [{\"name\"");
     String later = "{\"endpoints\":[],\"snapshot\":false,\"x\":\"endpoints\",\"y\":[{\"endpoints\":[{}]}],"
         + "\"series\":9,\"index\":8}\n";
     List<Update> expected = List.of(
