--- a/src/main/java/saltlatch/relay/Connection.java
+++ b/src/main/java/saltlatch/relay/Connection.java
@@ -1,9 +1,9 @@
 package saltlatch.relay;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
@@ -13,12 +13,13 @@
   /** Bytes that may come before what was asked is answered: a request, or a few written one behind the other. */
   static final int MAX_UNANSWERED_BYTES = 16 * 1024;
 
-  private final Channel channel;
+  private final ChannelHandlerContext first;
   private int unansweredBytes;
 
   Connection(HttpConnection connection) {
-    channel = ((ConnectionBase) connection).channel();
-    channel.pipeline().addFirst(new InboundLimit());
+    ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
+    pipeline.addFirst(new InboundLimit());
+    first = pipeline.firstContext();
   }
 
   /** What was asked is answered: as many bytes may come anew. A watch is never answered. */
@@ -26,9 +27,12 @@
     unansweredBytes = 0;
   }
 
-  /** Ends it without waiting until what was written is taken: whoever takes nothing would stay for ever. */
+  /**
+   * Ends it without waiting until what was written is taken, as Vert.x and a close of its channel do: whoever takes nothing
+   * would stay for ever. From the pipeline's first handler on, a close meets nobody that holds it up.
+   */
   void close() {
-    channel.close();
+    first.close();
   }
 
   /** Guards against requests written without end behind a watch or answers that nobody reads. */
--- a/src/main/java/saltlatch/relay/EncodedMessage.java
+++ b/src/main/java/saltlatch/relay/EncodedMessage.java
@@ -79,9 +79,10 @@
     bytes += piece.capacity();
   }
 
+  /** Room for the entries up to the one that fills the piece, so that it need not grow. */
   private int sizeOfNext() {
     int size = HEAD_BYTES;
-    for (int i = nextEntry; i < message.entries().size() && size < PIECE_BYTES; i++) {
+    for (int i = nextEntry; i < message.entries().size() && size < PIECE_BYTES + HEAD_BYTES; i++) {
       size += message.entries().get(i).json().length() + 1;
     }
     return size;
@@ -109,6 +110,6 @@
   }
 
   private static void writeText(ByteBuf piece, String text) {
-    piece.writeCharSequence(text, StandardCharsets.UTF_8);
+    piece.writeBytes(text.getBytes(StandardCharsets.UTF_8));
   }
 }
