--- a/src/main/java/saltlatch/cli/RelayCommand.java
+++ b/src/main/java/saltlatch/cli/RelayCommand.java
@@ -50,6 +50,7 @@
       err.println("saltlatch relay: can't listen on " + config.listen() + ": " + e.getCause().getMessage());
       return CANNOT_LISTEN;
     }
+    System.out.println("relay on " + config.listen().host() + ":" + relay.port());
     terminated.await();
     stop(relay);
     return 0;
--- a/src/main/java/saltlatch/relay/WatcherServer.java
+++ b/src/main/java/saltlatch/relay/WatcherServer.java
@@ -187,8 +187,8 @@
   }
 
   private static boolean hasBody(HttpServerRequest request) {
-    return request.headers().contains(HttpHeaders.CONTENT_LENGTH)
-        || request.headers().contains(HttpHeaders.TRANSFER_ENCODING);
+    String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
+    return length != null && !length.equals("0") || request.headers().contains(HttpHeaders.TRANSFER_ENCODING);
   }
 
   private void targets(HttpServerRequest request, Connection connection) {
