--- a/src/main/java/saltlatch/cli/ScaleCommand.java
+++ b/src/main/java/saltlatch/cli/ScaleCommand.java
@@ -21,8 +21,8 @@
 import saltlatch.lab.scale.ScaleTests;
 
 /** {@code lab scale TEST}: what the parts cost as one thing grows; and the stand-ins that this is measured against. */
-@Command(name = "scale", mixinStandardHelpOptions = true, subcommands = {
-    SourceCommand.class}, description = "Measure what a part costs as one thing grows: JSON lines of "
+@Command(name = "scale", mixinStandardHelpOptions = true, subcommands = {SourceCommand.class,
+    RelayScaleCommand.class}, description = "Measure what a part costs as one thing grows: JSON lines of "
         + "measurements, a straight line through them, the largest size foretold and measured.")
 final class ScaleCommand implements Callable<Integer> {
   private static final int REFUSED = 2; // exit code
--- a/src/test/java/saltlatch/lab/AgentForwarder.java
+++ b/src/main/java/saltlatch/lab/rig/AgentForwarder.java
@@ -1,9 +1,10 @@
-package saltlatch.lab;
+package saltlatch.lab.rig;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -11,7 +12,6 @@
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -20,36 +20,52 @@
 
 /**
  * Stands for the platform's agent on the nodes' machines: nodes have one address of discovery, and what listens there passes
- * each connection on to one of the relays that take it. It reads along from which index each node asks.
+ * each connection on to one of the relays that take it, in turn. It reads along from which index each node asks.
  */
-final class AgentForwarder implements AutoCloseable {
+public final class AgentForwarder implements AutoCloseable {
   private static final Pattern SINCE = Pattern.compile("GET /api/targets\\?follow=1&since=(\\d+)");
   private static final int WAIT_S = 20; // a busy machine
-
-  /** The indexes that nodes asked from, in the order in which they asked. */
-  final BlockingQueue<Long> asked = new LinkedBlockingQueue<>();
+  private static final int BACKLOG = 4_096; // nodes that connect at once
 
   private final Vertx vertx = Vertx.vertx();
   private final NetClient client = vertx.createNetClient();
-  private final List<Integer> relays;
   private final Set<NetSocket> nodes = ConcurrentHashMap.newKeySet();
   private final AtomicInteger turn = new AtomicInteger();
+  private final BlockingQueue<Long> asked = new LinkedBlockingQueue<>();
   private final NetServer server;
+  private volatile List<Integer> relays;
 
-  AgentForwarder(List<Integer> relayPorts) throws Exception {
-    relays = new CopyOnWriteArrayList<>(relayPorts);
-    server = vertx.createNetServer().connectHandler(this::accept).listen(0, "127.0.0.1").toCompletionStage()
-        .toCompletableFuture().get(WAIT_S, TimeUnit.SECONDS);
+  /** Listens on a free port of loopback; the relays' ports are of loopback as well. */
+  public AgentForwarder(List<Integer> relayPorts) throws Exception {
+    relays = List.copyOf(relayPorts);
+    server = vertx.createNetServer(new NetServerOptions().setAcceptBacklog(BACKLOG))
+        .connectHandler(this::accept).listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture()
+        .get(WAIT_S, TimeUnit.SECONDS);
   }
 
-  String address() {
+  /** What nodes have as their discovery. */
+  public String address() {
     return "127.0.0.1:" + server.actualPort();
   }
 
-  /** Ends all connections; the nodes ask anew, and the next so many asked for are from which indexes they did. */
-  List<Long> cutAndAsk(int count) throws InterruptedException {
+  /** Watches asked for since the last {@link #cut}. */
+  public int asked() {
+    return asked.size();
+  }
+
+  /** Passes connections on to these from now on; those that are open stay. */
+  public void forwardTo(List<Integer> relayPorts) {
+    relays = List.copyOf(relayPorts);
+  }
+
+  /** Ends all connections; the nodes ask anew. */
+  public void cut() {
     asked.clear();
     nodes.forEach(NetSocket::close);
+  }
+
+  /** The indexes that the next so many watches are asked from: what each node holds, in its own words. */
+  public List<Long> askedFrom(int count) throws InterruptedException {
     List<Long> all = new ArrayList<>();
     while (all.size() < count) {
       Long since = asked.poll(WAIT_S, TimeUnit.SECONDS);
@@ -63,13 +79,14 @@
     nodes.add(node);
     node.closeHandler(v -> nodes.remove(node));
     node.pause();
-    connect(node, relays.size());
+    List<Integer> now = relays;
+    connect(node, now, now.size());
   }
 
-  private void connect(NetSocket node, int tries) {
-    int port = relays.get(Math.floorMod(turn.getAndIncrement(), relays.size()));
+  private void connect(NetSocket node, List<Integer> to, int tries) {
+    int port = to.get(Math.floorMod(turn.getAndIncrement(), to.size()));
     client.connect(port, "127.0.0.1").onSuccess(relay -> join(node, relay)).onFailure(e -> {
-      if (tries > 1) connect(node, tries - 1);
+      if (tries > 1) connect(node, to, tries - 1);
       else node.close();
     });
   }
@@ -79,12 +96,11 @@
       nodes.remove(node);
       relay.close();
     });
-    relay.closeHandler(v -> node.close());
-    relay.handler(node::write);
     node.handler(request -> {
       note(request);
       relay.write(request);
     });
+    relay.pipeTo(node).onComplete(v -> node.close());
     node.resume();
   }
 
@@ -93,6 +109,7 @@
     if (since.find()) asked.add(Long.parseLong(since.group(1)));
   }
 
+  /** Ends all. */
   @Override
   public void close() throws Exception {
     vertx.close().toCompletionStage().toCompletableFuture().get(WAIT_S, TimeUnit.SECONDS);
--- a/src/main/java/saltlatch/relay/Watcher.java
+++ b/src/main/java/saltlatch/relay/Watcher.java
@@ -27,6 +27,7 @@
   }
 
   private static final int UNAVAILABLE = 503;
+  private static final int CHUNK_LINE_ENDS = 4; // bytes: two CRLFs
   private static final String RETRY_AFTER_S = "1"; // seconds, the least that the header can say
 
   private final long id;
@@ -60,7 +61,7 @@
     return connection;
   }
 
-  /** Bytes of messages that the socket has taken. */
+  /** Bytes of the answer's body, as chunked, that the socket has taken. */
   long bytesTaken() {
     return bytesTaken;
   }
@@ -109,7 +110,7 @@
     EncodedMessage message = unsent.peek();
     BufferInternal piece = BufferInternal.buffer(message.piece(nextPiece));
     Future<Void> taken = response.write(piece);
-    int length = piece.length();
+    int length = piece.length() + framing(piece.length());
     taken.onComplete(result -> {
       if (result.succeeded()) bytesTaken += length;
       boolean last = message.isLast(nextPiece);
@@ -123,6 +124,11 @@
     });
   }
 
+  /** Bytes that the chunk's head and end add. */
+  private static int framing(int length) {
+    return Integer.toHexString(length).length() + CHUNK_LINE_ENDS;
+  }
+
   private void continueMessage() {
     if (ended) finish(unsent.peek());
     else writePiece();
--- a/src/test/java/saltlatch/lab/RelayIT.java
+++ b/src/test/java/saltlatch/lab/RelayIT.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import saltlatch.lab.hollow.NodeConfig;
+import saltlatch.lab.rig.AgentForwarder;
 import saltlatch.lab.rig.ChildJvm;
 import saltlatch.lab.rig.Processes;
 
@@ -74,7 +75,7 @@
         "--report", "" + report);
     List<Process> real = realNodes(agent.address());
     hollow.await("hollow: " + HOLLOW + " of " + HOLLOW + " nodes have a list");
-    while (agent.asked.size() < HOLLOW + REAL) Thread.sleep(LOOK_MS);
+    while (agent.asked() < HOLLOW + REAL) Thread.sleep(LOOK_MS);
 
     rate(CHANGES_PER_SECOND);
     awaitIndex(BEFORE_KILL);
@@ -87,7 +88,8 @@
     assertEquals("" + (HOLLOW + REAL), info(rightAddress, "watchers"));
     assertEquals("" + last, info(rightAddress, "version"));
     // What a node asks from is what it holds, in its own words: hollow or real.
-    assertEquals(Collections.nCopies(HOLLOW + REAL, last), agent.cutAndAsk(HOLLOW + REAL));
+    agent.cut();
+    assertEquals(Collections.nCopies(HOLLOW + REAL, last), agent.askedFrom(HOLLOW + REAL));
     hollow.close();
     checkApplied(report, last);
     for (Process node : real) assertTrue(node.isAlive(), Files.readString(dir.resolve("n50.log")));
--- a/src/test/java/saltlatch/relay/SlowWatcherTest.java
+++ b/src/test/java/saltlatch/relay/SlowWatcherTest.java
@@ -151,7 +151,7 @@
     assertEquals(1, watches.listAt(1).get("index").getAsLong());
     await(relay, "watchers", 1);
     try {
-      for (int i = 0; i < 1_000_000; i++) watches.ask("/info");
+      for (int i = 0; i < Connection.MAX_UNANSWERED_BYTES / 8; i++) watches.ask("/info"); // 36 bytes each
     } catch (IOException e) {
       // the relay has ended it
     }
