--- a/src/main/java/saltlatch/relay/Watcher.java
+++ b/src/main/java/saltlatch/relay/Watcher.java
@@ -57,10 +57,6 @@
     return id;
   }
 
-  Connection connection() {
-    return connection;
-  }
-
   /** Bytes of the answer's body, as chunked, that the socket has taken. */
   long bytesTaken() {
     return bytesTaken;
@@ -113,8 +109,8 @@
     int length = piece.length() + framing(piece.length());
     taken.onComplete(result -> {
       if (result.succeeded()) bytesTaken += length;
-      boolean last = message.isLast(nextPiece);
-      if (result.succeeded() && !ended && !last) {
+      else ended = true; // the connection breaks, which is told by its own event
+      if (!ended && !message.isLast(nextPiece)) {
         nextPiece++;
         host.progressed(this);
         loop.runOnContext(v -> continueMessage()); // one piece a turn: others wait for no whole list
