--- a/src/main/java/saltlatch/relay/RelayFigures.java
+++ b/src/main/java/saltlatch/relay/RelayFigures.java
@@ -28,7 +28,6 @@
     lines.put("snapshots_sent", status.snapshotsSent());
     lines.put("refused", status.refused());
     lines.put("stalled", status.stalled());
-    lines.put("too_slow", server.tooSlow());
     lines.put("upstream_failures", status.upstreamFailures());
     lines.put("malformed", status.upstreamMalformed());
     lines.put("older_passed_over", status.olderPassedOver());
--- a/src/main/java/saltlatch/relay/Watcher.java
+++ b/src/main/java/saltlatch/relay/Watcher.java
@@ -6,7 +6,6 @@
 import io.vertx.core.internal.buffer.BufferInternal;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.function.LongSupplier;
 import saltlatch.distribution.Message;
 
 /**
@@ -38,22 +37,19 @@
   private final Context loop;
   private final MessageEncoder encoder;
   private final Host host;
-  private final LongSupplier clock;
   private final Deque<EncodedMessage> unsent = new ArrayDeque<>(); // the first is being written
   private int nextPiece;
-  private long begunAt; // ms, of what is being written
   private boolean ended;
   private long bytesTaken;
 
   Watcher(long id, boolean follows, Connection connection, HttpServerResponse response, Context loop,
-      MessageEncoder encoder, LongSupplier clock, Host host) {
+      MessageEncoder encoder, Host host) {
     this.id = id;
     this.follows = follows;
     this.connection = connection;
     this.response = response;
     this.loop = loop;
     this.encoder = encoder;
-    this.clock = clock;
     this.host = host;
   }
 
@@ -76,7 +72,7 @@
     }
     if (!response.headWritten()) openHead();
     unsent.add(encoder.use(message));
-    if (unsent.size() == 1) begin();
+    if (unsent.size() == 1) writePiece();
   }
 
   /** Too much is asked of this relay: come again. */
@@ -106,16 +102,6 @@
     response.setChunked(true).putHeader("content-type", "application/json");
   }
 
-  /** Whether it has been at one message since this time or longer, however steadily. */
-  boolean hasSentSince(long ms) {
-    return !unsent.isEmpty() && begunAt <= ms;
-  }
-
-  private void begin() {
-    begunAt = clock.getAsLong();
-    writePiece();
-  }
-
   private void writePiece() {
     EncodedMessage message = unsent.peek();
     BufferInternal piece = BufferInternal.buffer(message.piece(nextPiece));
@@ -152,7 +138,7 @@
       unsent.forEach(encoder::release);
       unsent.clear();
     } else if (!unsent.isEmpty()) {
-      begin();
+      writePiece();
     } else if (follows) {
       host.drained(this);
     } else {
--- a/src/main/java/saltlatch/relay/WatcherServer.java
+++ b/src/main/java/saltlatch/relay/WatcherServer.java
@@ -14,7 +14,6 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -44,13 +43,7 @@
   /** Connections beside those of the watchers: silent ones, and such as ask for lists or figures. */
   static final int SPARE_CONNECTIONS = 64;
 
-  /**
-   * Ms that one message may take to be taken whole: with a new list every few seconds, it bounds how many older ones are held
-   * for those who are slow but go on.
-   */
-  static final long MAX_SENDING_MS = 60_000;
-
-  private static final long SWEEP_MS = 250; // between looks for idle connections and slow watchers
+  private static final long SWEEP_MS = 250; // between looks for idle connections
   private static final int MAX_LINE_BYTES = 1_024; // of a request's first line
   private static final int MAX_HEADER_BYTES = 8 * 1_024; // of a request's headers
   private static final int SEND_BUFFER_BYTES = 256 * 1_024; // the system's part of a watcher that reads nothing
@@ -73,7 +66,6 @@
   private long lastId;
   private long bytesOfClosed;
   private long connectionsRefused;
-  private long tooSlow;
 
   WatcherServer(Vertx vertx, Context loop, int maxWatchers, LongSupplier clock, Supplier<String> figures,
       Host host) {
@@ -92,10 +84,7 @@
   }
 
   Future<Void> listen(SocketAddress address) {
-    vertx.setPeriodic(SWEEP_MS, t -> {
-      closeIdle();
-      closeSlow();
-    });
+    vertx.setPeriodic(SWEEP_MS, t -> closeIdle());
     return server.listen(address).mapEmpty();
   }
 
@@ -141,11 +130,6 @@
     return connectionsRefused;
   }
 
-  /** Watchers closed since a message took too long. */
-  long tooSlow() {
-    return tooSlow;
-  }
-
   private void accept(HttpConnection made) {
     Connection connection = new Connection(made);
     connections.put(made, connection);
@@ -176,16 +160,6 @@
     }
   }
 
-  private void closeSlow() {
-    long since = clock.getAsLong() - MAX_SENDING_MS;
-    List<Watcher> slow = watchers.values().stream().filter(w -> w.hasSentSince(since)).toList();
-    for (Watcher watcher : slow) {
-      tooSlow++;
-      close(watcher.id(), false);
-      host.closed(watcher.id());
-    }
-  }
-
   private void request(HttpServerRequest request) {
     Connection connection = connections.get(request.connection());
     idle.remove(connection);
@@ -226,8 +200,7 @@
       request.response().setStatusCode(BAD_REQUEST).end();
       return;
     }
-    Watcher watcher = new Watcher(++lastId, follows, connection, request.response(), loop, encoder, clock,
-        events);
+    Watcher watcher = new Watcher(++lastId, follows, connection, request.response(), loop, encoder, events);
     watchers.put(watcher.id(), watcher);
     request.response().closeHandler(v -> lost(watcher));
     host.opened(watcher.id(), since);
