--- a/src/test/java/saltlatch/relay/SlowWatcherTest.java
+++ b/src/test/java/saltlatch/relay/SlowWatcherTest.java
@@ -73,6 +73,24 @@
     assertEquals(202, reads.listAt(202).get("index").getAsLong());
   }
 
+  /** It takes some every 20 s and so does not stand still, but a list is not held for it for more than two minutes. */
+  @Test
+  void trickles() throws Exception {
+    Relay relay = relay("", whole(1, entries(LARGE)));
+    await(relay, "version", 1);
+    TestWatcher slow = stalled(relay);
+    await(relay, "snapshots_sent", 1);
+    for (int i = 0; i < 6; i++) {
+      assertEquals(0, info(relay, "stalled"), "after " + i + " times 20 s");
+      long before = info(relay, "bytes_out");
+      slow.socket.getInputStream().readNBytes(4 * EncodedMessage.PIECE_BYTES);
+      while (info(relay, "bytes_out") == before) Thread.onSpinWait();
+      pass(relay, 20_000);
+    }
+    assertEquals(1, info(relay, "stalled"));
+    assertTrue(slow.isEnded());
+  }
+
   /** The list that a watcher has begun to get is the one that it gets, whatever changes meanwhile. */
   @Test
   void changeWhileAListIsOnTheWay() throws Exception {
