--- a/src/main/java/saltlatch/lab/tiers/RelayScale.java
+++ b/src/main/java/saltlatch/lab/tiers/RelayScale.java
@@ -145,8 +145,10 @@
     if (times.missing() > 0 || times.backwards() > 0) {
       say("FAILED: " + times.missing() + " never in force, " + times.backwards() + " went backwards");
     }
-    return Values.of(Quantity.COUNT, times.count()).and(Quantity.P50_MS, times.p50Ms())
-        .and(Quantity.P99_MS, times.p99Ms()).and(Quantity.MAX_MS, times.maxMs());
+    Values values = Values.of(Quantity.COUNT, times.count());
+    if (times.count() == 0) return values;
+    return values.and(Quantity.P50_MS, times.p50Ms()).and(Quantity.P99_MS, times.p99Ms()).and(Quantity.MAX_MS,
+        times.maxMs());
   }
 
   /** What the source and a relay of each tier have used in a phase. */
