--- a/src/test/java/saltlatch/relay/RelayTest.java
+++ b/src/test/java/saltlatch/relay/RelayTest.java
@@ -113,7 +113,9 @@
     TestUpstream second = upstream();
     Relay relay = relay("", upstream, second);
     upstream.accept();
-    upstream.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    String list = whole(9, entry("s-9", "Ready")); // of no use: what comes with another status is no list
+    upstream
+        .write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
     second.answer();
     second.tell(whole(7, entry("s-1", "Ready")));
     await(relay, "version", 7);
@@ -143,7 +145,7 @@
   private void repeatUntilLeft(String text) {
     String piece = text.repeat(4096);
     try {
-      for (;;) upstream.tell(piece);
+      for (int i = 0; i < 1_000; i++) upstream.tell(piece); // sixteen times what a line may have
     } catch (java.io.IOException e) {
       // the relay has ended it, which is what was waited for
     }
