--- a/src/main/java/saltlatch/cli/Commands.java
+++ b/src/main/java/saltlatch/cli/Commands.java
@@ -12,8 +12,8 @@
  * The command line: {@code serve}, {@code simhost}, {@code emulate}, {@code load}, {@code report}, {@code lab}. Exit
  * codes: 0 done (or, for {@code serve}, serving), 2 bad input or configuration, 3 can't listen, 1 a lab check failed.
  */
-@Command(name = "saltlatch", mixinStandardHelpOptions = true, version = "saltlatch 0.2.0", description = "A quota-keeping gateway "
-    + "for a shared API, and its laboratory.", subcommands = {Commands.ServeCommand.class,
+@Command(name = "saltlatch", mixinStandardHelpOptions = true, version = "saltlatch 0.2.0", description = "A quota-keeping "
+    + "gateway for a shared API, and its laboratory.", subcommands = {Commands.ServeCommand.class,
         Commands.SimHostCommand.class, EmulateCommand.class, LoadCommand.class, ReportCommand.class,
         LabCommand.class})
 public final class Commands implements Runnable {
--- a/src/main/java/saltlatch/cli/LabCommand.java
+++ b/src/main/java/saltlatch/cli/LabCommand.java
@@ -15,8 +15,8 @@
 import saltlatch.lab.scenario.Scenario;
 
 /** {@code lab}: emulator, K in-process edge nodes and the load; writes the run file and its report. */
-@Command(name = "lab", mixinStandardHelpOptions = true, subcommands = {
-    ScaleCommand.class}, description = "Run a scenario against K real edge nodes "
+@Command(name = "lab", mixinStandardHelpOptions = true, subcommands = {ScaleCommand.class,
+    HollowCommand.class}, description = "Run a scenario against K real edge nodes "
         + "in this process; write RUN.json and RUN.html.")
 final class LabCommand implements Callable<Integer> {
   private static final int MOST_SHOWN = 20; // violations on the screen; the run file has all
