--- /dev/null
+++ b/src/main/java/saltlatch/lab/capacity/CapacityTables.java
@@ -0,0 +1,167 @@
+package saltlatch.lab.capacity;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+
+/** All generated tables of docs/CAPACITY.md, from the data alone: no clock, locale, machine or hash order. */
+public final class CapacityTables {
+  private static final List<Integer> SERVICE_SIZES = List.of(3, 15, 60, 200); // app servers: small, mean, large, largest
+  private static final String NONE = "";
+
+  private final CapacityData data;
+  private final Basis basis;
+
+  private CapacityTables(CapacityData data) {
+    this.data = data;
+    this.basis = data.basis();
+  }
+
+  /** The tables. */
+  public static List<Table> of(CapacityData data) {
+    CapacityTables tables = new CapacityTables(data);
+    List<Table> all = new ArrayList<>();
+    all.add(tables.inputs("target", Input.Kind.TARGET));
+    all.add(tables.slopes());
+    all.add(tables.tests());
+    for (Role role : Role.all()) all.add(tables.role(role));
+    List<Wall> walls = Walls.of(tables.basis, data.benchDays());
+    all.add(walls(walls));
+    all.add(mechanisms(walls));
+    all.add(tables.bench());
+    all.add(tables.inputs("assumptions", Input.Kind.ASSUMPTION));
+    all.add(tables.subsets());
+    return all;
+  }
+
+  private Table inputs(String name, Input.Kind kind) {
+    List<List<String>> rows = new ArrayList<>();
+    for (Input input : Input.values()) {
+      if (input.kind() != kind) continue;
+      Inputs.Given given = data.inputs().given(input);
+      rows.add(List.of("`" + input.key() + "`", Numbers.inFull(given.value()), given.unit(), given.reason()));
+    }
+    return new Table(name, List.of("name", "value", "unit", "from"), rows);
+  }
+
+  private Table slopes() {
+    List<List<String>> rows = new ArrayList<>();
+    for (Fit fit : basis.fits().all()) rows.add(slope(fit));
+    if (rows.isEmpty()) rows.add(List.of("missing", NONE, NONE, NONE, NONE, NONE, NONE, NONE, NONE));
+    return new Table("slopes", List.of("measured", "grows", "sizes (repeats in all)", "at size 0",
+        "for each more ± error", "residual", "largest, predicted", "largest, measured", "commit"), rows);
+  }
+
+  private static List<String> slope(Fit fit) {
+    String sizes = String.join(" / ", fit.sizes().stream().map(Numbers::show).toList());
+    Double predicted = fit.predictedLargest();
+    return List.of(fit.name(), fit.grows(), sizes + " (" + fit.points().size() + ")",
+        Numbers.show(fit.line().intercept()), withError(fit.line().slope(), fit.slopeError()),
+        Numbers.show(fit.line().residual()), predicted == null ? "too few sizes" : Numbers.show(predicted),
+        Numbers.show(fit.measuredLargest()), String.join(", ", fit.commits()));
+  }
+
+  private Table tests() {
+    List<List<String>> rows = new ArrayList<>();
+    for (ScaleTest test : ScaleTest.values()) {
+      boolean there = data.measurements().stream().anyMatch(one -> one.what().equals(test.id()));
+      rows.add(List.of("`" + test.id() + "`", test.counts(), there ? "yes" : "missing"));
+    }
+    return new Table("tests", List.of("test", "one value counts", "run"), rows);
+  }
+
+  private Table role(Role role) {
+    List<List<String>> rows = role.rows(basis).stream().map(this::row).toList();
+    return new Table(role.table(),
+        List.of("what", "when", "figure", "budget", "within", "stands", "from", "carried by"), rows);
+  }
+
+  private List<String> row(Row row) {
+    Figure figure = row.figure();
+    String budget = row.budget() == null ? NONE : Numbers.show(row.budget().value()) + " " + row.unit();
+    return List.of(row.what(), row.moment().title(), shown(figure, row.unit()), budget, within(row),
+        figure.standing().toString(), sources(figure), row.mechanism());
+  }
+
+  private static String within(Row row) {
+    if (row.budget() == null || !row.figure().known()) return NONE;
+    return row.figure().value() <= row.budget().value() ? "yes" : "**no**";
+  }
+
+  private static String shown(Figure figure, String unit) {
+    if (!figure.known()) return "missing";
+    return withError(figure.value(), figure.error()) + (unit.isEmpty() ? "" : " " + unit);
+  }
+
+  private static String withError(double value, double error) {
+    return error == 0 ? Numbers.show(value) : Numbers.show(value) + " ± " + Numbers.show(error);
+  }
+
+  private static String sources(Figure figure) {
+    return figure.sources().isEmpty() ? "target" : String.join(", ", figure.sources());
+  }
+
+  private static Table walls(List<Wall> walls) {
+    List<List<String>> rows = new ArrayList<>();
+    for (Wall wall : walls) {
+      Figure part = wall.part();
+      rows.add(List.of(part.known() ? Numbers.show(part.value()) : "missing", wall.term(),
+          shown(wall.holds(), wall.unit()), Numbers.show(wall.target().value()), part.standing().toString(),
+          sources(part), wall.mechanism().title()));
+    }
+    return new Table("walls", List.of("part of the target", "what breaks", "holds up to", "target", "stands",
+        "from", "taken away by"), rows);
+  }
+
+  /** The mechanisms by the first wall that each takes away. */
+  private static Table mechanisms(List<Wall> walls) {
+    Map<Mechanism, List<Wall>> byMechanism = new EnumMap<>(Mechanism.class);
+    for (Wall wall : walls) byMechanism.computeIfAbsent(wall.mechanism(), m -> new ArrayList<>()).add(wall);
+    List<Mechanism> order = new ArrayList<>(byMechanism.keySet());
+    order.sort(Comparator.comparingInt(mechanism -> walls.indexOf(byMechanism.get(mechanism).get(0))));
+    List<List<String>> rows = new ArrayList<>();
+    for (Mechanism mechanism : order) {
+      Figure first = byMechanism.get(mechanism).get(0).part();
+      String terms = String.join("; ", byMechanism.get(mechanism).stream().map(Wall::term).toList());
+      rows.add(List.of(Integer.toString(rows.size() + 1), mechanism.title(), mechanism.state(),
+          first.known() ? Numbers.show(first.value()) : "missing", terms));
+    }
+    return new Table("mechanisms",
+        List.of("order", "mechanism", "state", "needed from this part on", "walls"), rows);
+  }
+
+  private Table bench() {
+    List<List<String>> rows = new ArrayList<>();
+    for (BenchDay day : data.benchDays()) {
+      String beyond = day.beyondMost() == 0 ? "none told"
+          : Numbers.show(day.beyondLeast()) + " to " + Numbers.show(day.beyondMost());
+      rows.add(List.of(day.deployment(), day.day(), Integer.toString(day.nodes()), Long.toString(day.seed()),
+          day.commit(), Numbers.show(day.overQuota()), beyond));
+    }
+    return new Table("bench", List.of("deployment", "day", "nodes", "seed", "commit", "price `over_quota`",
+        "part of units beyond quotas, steps of 5 s"), rows);
+  }
+
+  private Table subsets() {
+    int nodes = (int) data.inputs().value(Input.EDGE_NODES);
+    int kept = (int) data.inputs().value(Input.SERVERS_KEPT_PER_SERVICE);
+    long seed = (long) data.inputs().value(Input.SUBSET_SEED);
+    List<List<String>> rows = new ArrayList<>();
+    for (int servers : SERVICE_SIZES) {
+      for (SubsetPolicy policy : SubsetPolicy.values()) {
+        rows.add(subset(SubsetSimulation.play(policy, nodes, servers, kept, seed)));
+      }
+    }
+    return new Table("subsets", List.of("app servers", "kept by a node", "policy", "load p50", "p99", "max",
+        "connections, most", "choices moved when one goes", "least that must"), rows);
+  }
+
+  private static List<String> subset(SubsetSimulation.Outcome outcome) {
+    return List.of(Integer.toString(outcome.servers()), Integer.toString(outcome.kept()),
+        outcome.policy().title(), Numbers.show(outcome.p50()), Numbers.show(outcome.p99()),
+        Numbers.show(outcome.max()), Numbers.show(outcome.connections()), Numbers.show(outcome.moved()),
+        Numbers.show(outcome.least()));
+  }
+}
--- /dev/null
+++ b/src/main/java/saltlatch/lab/capacity/Fit.java
@@ -0,0 +1,84 @@
+package saltlatch.lab.capacity;
+
+import java.util.List;
+import saltlatch.lab.scale.LineFit;
+import saltlatch.lab.scale.LineFit.Point;
+import saltlatch.lab.scale.Quantity;
+
+/**
+ * One quantity of one scale test over the size that grew: every repeat is a point of the line.
+ *
+ * @param test     name of the test
+ * @param grows    what grew
+ * @param quantity what was measured
+ * @param points   the repeats, sizes ascending
+ * @param line     the line of least squares through them
+ * @param commits  texts measured
+ */
+public record Fit(String test, String grows, Quantity quantity, List<Point> points, LineFit line,
+    List<String> commits) {
+
+  /** The largest size that was run. */
+  public double largest() {
+    return points.get(points.size() - 1).size();
+  }
+
+  /** The sizes that were run, ascending. */
+  public List<Double> sizes() {
+    return points.stream().map(Point::size).distinct().toList();
+  }
+
+  /** Standard error of the slope. */
+  public double slopeError() {
+    return deviation() / Math.sqrt(squares());
+  }
+
+  /** Standard error of the line's value at a size; it grows with the distance from what was measured. */
+  public double errorAt(double size) {
+    double distance = size - meanSize();
+    return deviation() * Math.sqrt(1.0 / points.size() + distance * distance / squares());
+  }
+
+  /** What the smaller sizes alone predict for the largest; null where there are fewer than two smaller sizes. */
+  public Double predictedLargest() {
+    if (sizes().size() < 3) return null;
+    return LineFit.of(points.stream().filter(p -> p.size() < largest()).toList()).at(largest());
+  }
+
+  /** Mean of the repeats at the largest size. */
+  public double measuredLargest() {
+    return points.stream().filter(p -> p.size() == largest()).mapToDouble(Point::value).average()
+        .orElseThrow();
+  }
+
+  /** The line's value at a size: measured up to the largest size run, extrapolated beyond. */
+  public Figure at(double size) {
+    Standing standing = size <= largest() ? Standing.MEASURED : Standing.EXTRAPOLATED;
+    return new Figure(line.at(size), errorAt(size), standing, List.of(name()));
+  }
+
+  /** What one more adds. */
+  public Figure slope() {
+    return new Figure(line.slope(), slopeError(), Standing.MEASURED, List.of(name()));
+  }
+
+  /** Test and quantity, as the page names them. */
+  public String name() {
+    return Fits.name(test, quantity);
+  }
+
+  private double meanSize() {
+    return points.stream().mapToDouble(Point::size).average().orElseThrow();
+  }
+
+  private double squares() {
+    double mean = meanSize();
+    return points.stream().mapToDouble(p -> (p.size() - mean) * (p.size() - mean)).sum();
+  }
+
+  /** Standard deviation of a point from the line: two of the points' freedoms went into the line. */
+  private double deviation() {
+    int free = Math.max(1, points.size() - 2);
+    return line.residual() * Math.sqrt((double) points.size() / free);
+  }
+}
--- /dev/null
+++ b/src/main/java/saltlatch/lab/capacity/Fits.java
@@ -0,0 +1,86 @@
+package saltlatch.lab.capacity;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import saltlatch.lab.scale.LineFit;
+import saltlatch.lab.scale.LineFit.Point;
+import saltlatch.lab.scale.Measurement;
+import saltlatch.lab.scale.Quantity;
+
+/** The lines through all committed measurements, by test and quantity. A test with a single size has no line. */
+public final class Fits {
+  private static final Comparator<Point> ORDER = Comparator.comparingDouble(Point::size)
+      .thenComparingDouble(Point::value);
+
+  private final Map<String, Map<Quantity, Fit>> fits = new TreeMap<>();
+
+  private Fits() {}
+
+  /** Lines through these, whatever their order. */
+  public static Fits of(Collection<Measurement> measurements) {
+    Map<String, List<Measurement>> byTest = new TreeMap<>();
+    for (Measurement one : measurements) {
+      byTest.computeIfAbsent(one.what(), test -> new ArrayList<>()).add(one);
+    }
+    Fits all = new Fits();
+    byTest.forEach(all::add);
+    return all;
+  }
+
+  private void add(String test, List<Measurement> repeats) {
+    Map<Quantity, Fit> byQuantity = new EnumMap<>(Quantity.class);
+    for (Quantity quantity : Quantity.values()) {
+      Fit fit = fit(test, quantity, repeats);
+      if (fit != null) byQuantity.put(quantity, fit);
+    }
+    fits.put(test, byQuantity);
+  }
+
+  private static Fit fit(String test, Quantity quantity, List<Measurement> repeats) {
+    List<Measurement> used = repeats.stream().filter(one -> one.values().containsKey(quantity)).toList();
+    List<Point> points = used.stream().map(one -> new Point(one.size(), one.values().get(quantity)))
+        .sorted(ORDER).toList();
+    if (points.stream().map(Point::size).distinct().count() < 2) return null;
+    TreeSet<String> commits = new TreeSet<>();
+    used.forEach(one -> commits.add(one.commit()));
+    return new Fit(test, used.get(0).grows(), quantity, points, LineFit.of(points), List.copyOf(commits));
+  }
+
+  /** All lines, by test and quantity in a fixed order. */
+  public List<Fit> all() {
+    return fits.values().stream().flatMap(one -> one.values().stream()).toList();
+  }
+
+  /** The line of a quantity of a test, null if there is none. */
+  public Fit find(String test, Quantity quantity) {
+    return fits.getOrDefault(test, Map.of()).get(quantity);
+  }
+
+  /** The line's value at a size; missing without a line. */
+  public Figure at(String test, Quantity quantity, double size) {
+    Fit fit = find(test, quantity);
+    return fit == null ? Figure.missing(name(test, quantity)) : fit.at(size);
+  }
+
+  /** What one more adds; missing without a line. */
+  public Figure slope(String test, Quantity quantity) {
+    Fit fit = find(test, quantity);
+    return fit == null ? Figure.missing(name(test, quantity)) : fit.slope();
+  }
+
+  /** What is there at size 0; missing without a line. */
+  public Figure intercept(String test, Quantity quantity) {
+    return at(test, quantity, 0);
+  }
+
+  static String name(String test, Quantity quantity) {
+    return test + " " + quantity.name().toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/src/main/java/saltlatch/lab/capacity/Moment.java
@@ -0,0 +1,22 @@
+package saltlatch.lab.capacity;
+
+/** When a figure is looked at. */
+public enum Moment {
+  ORDINARY("ordinary day"),
+  PEAK("peak"),
+  ZONE_STARTS("nodes of a zone start at once"),
+  REGION_RETURNS("a region returns"),
+  COUNTER_EMPTY("the counter is empty"),
+  MACHINE_LOST("one control machine lost");
+
+  private final String title;
+
+  Moment(String title) {
+    this.title = title;
+  }
+
+  /** Its name on the page. */
+  public String title() {
+    return title;
+  }
+}
--- /dev/null
+++ b/src/main/java/saltlatch/lab/capacity/ScaleTest.java
@@ -0,0 +1,37 @@
+package saltlatch.lab.capacity;
+
+/** Scale tests whose measurements the formulas use, and what one value of each counts. */
+public enum ScaleTest {
+  LIST_START("list.start", "a node from its start until it holds the list"),
+  LIST_REST("list.rest", "a node a second, while nothing changes"),
+  LIST_CHANGE("list.change", "a node for a change of one app server"),
+  PLANS_START("plans.start", "a node from its start until it serves"),
+  WATCHERS_CHANGE("watchers.change", "one discovery stand-in for a change"),
+  WATCHERS_WHOLE("watchers.whole", "one discovery stand-in for a whole list to every watcher"),
+  MEMBERS_REST("members.rest", "a node a second, while nobody fails"),
+  MEMBERS_FAILURE("members.failure", "the fleet, from a death until all hold it failed"),
+  COUNTER_CALLS("counter.calls", "a node a second"),
+  REQUESTS("requests.rate", "a node a second"),
+  SUMS_JAM("sums.jam", "a node a second while the counter is in a jam"),
+  RELAY_CHANGE("relay.change", "a relay for a change"),
+  RELAY_WHOLE("relay.whole", "a relay for a whole list to every watcher"),
+  RELAY_HELD("relay.held", "a relay at rest");
+
+  private final String id;
+  private final String counts;
+
+  ScaleTest(String id, String counts) {
+    this.id = id;
+    this.counts = counts;
+  }
+
+  /** Its name in the measurements. */
+  public String id() {
+    return id;
+  }
+
+  /** What one value counts. */
+  public String counts() {
+    return counts;
+  }
+}
--- /dev/null
+++ b/src/main/java/saltlatch/lab/capacity/Walls.java
@@ -0,0 +1,122 @@
+package saltlatch.lab.capacity;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.ToDoubleFunction;
+import saltlatch.api.Told;
+import saltlatch.lab.scale.Quantity;
+import saltlatch.member.Terms;
+
+/** All walls, those that come first at the top; what is not known stands last. */
+public final class Walls {
+  private static final double MS_PER_SECOND = 1000;
+  private static final double TENTHS_PER_SECOND = 10_000; // membership's times are tenths of a ms
+
+  private final Basis basis;
+  private final List<BenchDay> benchDays;
+
+  private Walls(Basis basis, List<BenchDay> benchDays) {
+    this.basis = basis;
+    this.benchDays = benchDays;
+  }
+
+  /** The walls, by part of the target. */
+  public static List<Wall> of(Basis basis, List<BenchDay> benchDays) {
+    Walls walls = new Walls(basis, benchDays);
+    List<Wall> all = new ArrayList<>();
+    walls.distribution(all);
+    walls.memory(all);
+    walls.requests(all);
+    walls.membership(all);
+    all.sort(Comparator.comparing((Wall wall) -> !wall.part().known()).thenComparing(w -> w.part().value()));
+    return all;
+  }
+
+  private void distribution(List<Wall> all) {
+    Figure appServers = basis.in(Input.APP_SERVERS);
+    Figure nodes = basis.in(Input.EDGE_NODES);
+    Figure entry = basis.slope(ScaleTest.LIST_START, Quantity.BYTES_IN);
+    all.add(new Wall("settings change by a restart of every node alone", Figure.exact(0),
+        basis.in(Input.CHANGES_PER_DAY), "changes a day", Mechanism.RUNNING_SETTINGS));
+    all.add(new Wall("a line of the watch beyond its bound is refused, for ever",
+        basis.in(Input.LIST_BOUND_BYTES).over(entry), appServers, "app servers", Mechanism.BOUNDED_LIST));
+    Figure bytesToStart = basis.in(Input.NODE_BYTES_PER_SECOND).times(basis.in(Input.START_WITHIN_SECONDS));
+    all.add(new Wall("a starting node reads the whole list within its budget of bytes",
+        bytesToStart.over(entry), appServers, "app servers", Mechanism.KEPT_LIST));
+    Figure msPerChange = Figure.exact(MS_PER_SECOND).over(new Rates(basis).peakChanges());
+    all.add(new Wall("one discovery's whole core goes to changes at the peak",
+        sizeAt(ScaleTest.WATCHERS_CHANGE, Quantity.CPU_MS, msPerChange), nodes, "watchers",
+        Mechanism.RELAYS));
+    Figure inForce = basis.in(Input.IN_FORCE_SECONDS).times(MS_PER_SECOND);
+    all.add(new Wall("one discovery sends the whole list to all in the time to be in force",
+        sizeAt(ScaleTest.WATCHERS_WHOLE, Quantity.CPU_MS, inForce), nodes, "watchers", Mechanism.RELAYS));
+  }
+
+  private void memory(List<Wall> all) {
+    Figure heap = basis.in(Input.HEAP_BYTES);
+    Figure plans = basis.in(Input.TENANTS).times(basis.in(Input.PLANS_PER_TENANT));
+    all.add(new Wall("plans in the settings fill the heap",
+        sizeAt(ScaleTest.PLANS_START, Quantity.HEAP_BYTES, heap), plans, "plans", Mechanism.PLANS_BY_DEMAND));
+    all.add(new Wall("the list fills the heap", sizeAt(ScaleTest.LIST_START, Quantity.HEAP_BYTES, heap),
+        basis.in(Input.APP_SERVERS), "app servers", Mechanism.SUBSETS));
+  }
+
+  private void requests(List<Wall> all) {
+    Rates rates = new Rates(basis);
+    Figure peak = basis.in(Input.REQUESTS_PER_SECOND);
+    all.add(new Wall("connections idle out between two requests of a pair",
+        rates.peakRequestsPerNode().times(basis.in(Input.IDLE_CLOSE_SECONDS)), basis.in(Input.APP_SERVERS),
+        "app servers that a node sends to", Mechanism.SUBSETS));
+    all.add(new Wall("one counter process answers all calls",
+        basis.in(Input.COUNTER_CALLS_PER_PROCESS).over(basis.in(Input.COUNTER_CALLS_PER_REQUEST)), peak,
+        "requests/s", Mechanism.DIVIDED_COUNTER));
+    Figure bytesPerRequest = rates.counterBytes(Figure.exact(1));
+    all.add(new Wall("a node's calls to the counter alone reach its budget of bytes",
+        basis.in(Input.NODE_BYTES_PER_SECOND).over(bytesPerRequest), rates.peakRequestsPerNode(),
+        "requests/s at a node", Mechanism.DIVIDED_COUNTER));
+    all.add(new Wall("units beyond quotas on a day without a fault, on the bench", quotasHold(),
+        basis.in(Input.EDGE_NODES), "nodes", Mechanism.FLEET_QUOTAS));
+    all.add(new Wall("the load tool's own lateness hides the added latency",
+        Figure.missing("a load tool late by less than a tenth of added_p99_ms"), peak, "requests/s",
+        Mechanism.PUNCTUAL_LOAD));
+  }
+
+  /** The largest fleet up to which every day of the bench stayed within the margin. */
+  private Figure quotasHold() {
+    double most = basis.inputs().value(Input.QUOTA_SLIP_PART);
+    int broken = benchDays.stream().filter(day -> day.overQuota() > most).mapToInt(BenchDay::nodes).min()
+        .orElse(Integer.MAX_VALUE);
+    int holds = benchDays.stream().mapToInt(BenchDay::nodes).filter(nodes -> nodes < broken).max().orElse(0);
+    if (holds == 0) return Figure.missing("bench-prices.jsonl");
+    return Figure.assumed(holds, Input.QUOTA_SLIP_PART.key()).from("bench-prices.jsonl");
+  }
+
+  private void membership(List<Wall> all) {
+    Figure nodes = basis.in(Input.EDGE_NODES);
+    double bound = basis.inputs().value(Input.TAKEOVER_WITHIN_SECONDS) * TENTHS_PER_SECOND;
+    all.add(new Wall("a dead node's share is in use again in time",
+        fleet(terms -> terms.takenOverWithin(), bound), nodes, "nodes", Mechanism.MEMBER_CELLS));
+    all.add(new Wall("a datagram tells whom a node hears",
+        Figure.exact(Told.MOST_NODES).from("api.Told.MOST_NODES"), nodes, "nodes", Mechanism.MEMBER_CELLS));
+    all.add(new Wall("one quorum for the whole fleet: a region cut off keeps part of its shares",
+        Figure.exact(1), basis.in(Input.REGIONS), "regions", Mechanism.REGIONAL_SHARES));
+  }
+
+  /** The largest fleet whose time, by membership's own formulas, is within a bound. */
+  private Figure fleet(ToDoubleFunction<Terms> time, double most) {
+    double datagrams = basis.inputs().value(Input.DATAGRAMS_PER_SECOND);
+    int holds = 0;
+    while (time.applyAsDouble(Terms.of(holds + 1, datagrams)) <= most) holds++;
+    return Figure.assumed(holds, Input.TAKEOVER_WITHIN_SECONDS.key()).from(Input.DATAGRAMS_PER_SECOND.key())
+        .from("member.Terms");
+  }
+
+  /** The size at which a test's line reaches a value. */
+  private Figure sizeAt(ScaleTest test, Quantity quantity, Figure value) {
+    Figure size = value.minus(basis.intercept(test, quantity)).over(basis.slope(test, quantity));
+    Fit fit = basis.fits().find(test.id(), quantity);
+    boolean beyond = fit != null && size.known() && size.value() > fit.largest();
+    return beyond ? size.withStanding(Standing.EXTRAPOLATED) : size;
+  }
+}
--- /dev/null
+++ b/src/test/java/saltlatch/lab/capacity/FitsTest.java
@@ -0,0 +1,92 @@
+package saltlatch.lab.capacity;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import saltlatch.lab.scale.Measurement;
+import saltlatch.lab.scale.Quantity;
+
+/** Lines through measurements, and figures computed from them. */
+class FitsTest {
+  private static final double EXACT = 1e-9;
+
+  private final List<Measurement> bent = List.of(Sample.one("t", 1, 1), Sample.one("t", 2, 2),
+      Sample.one("t", 3, 3), Sample.one("t", 4, 8));
+
+  @Test
+  void slopeAndItsStandardErrorAreThoseOfTheTextbook() {
+    Fit fit = Fits.of(bent).find("t", Quantity.CPU_MS);
+    assertEquals(2.2, fit.line().slope(), EXACT);
+    assertEquals(-2, fit.line().intercept(), EXACT);
+    // distances 0.8, -0.4, -1.6, 1.2: squares 4.8 over 2 freedoms, over 5 for the sizes' squares
+    assertEquals(Math.sqrt(4.8 / 2 / 5), fit.slopeError(), EXACT);
+    assertEquals(Math.sqrt(4.8 / 2) * Math.sqrt(0.25 + 7.5 * 7.5 / 5), fit.errorAt(10), EXACT);
+  }
+
+  @Test
+  void theLargestSizeIsPredictedFromTheSmallerOnesAlone() {
+    Fit fit = Fits.of(bent).find("t", Quantity.CPU_MS);
+    assertEquals(4, fit.predictedLargest(), EXACT);
+    assertEquals(8, fit.measuredLargest(), EXACT);
+    assertNull(Fits.of(bent.subList(0, 2)).find("t", Quantity.CPU_MS).predictedLargest());
+  }
+
+  @Test
+  void beyondTheLargestSizeRunAFigureIsExtrapolated() {
+    Fits fits = Fits.of(bent);
+    assertEquals(Standing.MEASURED, fits.at("t", Quantity.CPU_MS, 4).standing());
+    assertEquals(Standing.EXTRAPOLATED, fits.at("t", Quantity.CPU_MS, 4.5).standing());
+    assertEquals(List.of("t cpu_ms"), fits.at("t", Quantity.CPU_MS, 4).sources());
+  }
+
+  @Test
+  void withoutTwoSizesNothingIsKnown() {
+    Fits fits = Fits.of(List.of(Sample.one("t", 1, 1), Sample.one("t", 1, 2)));
+    assertFalse(fits.at("t", Quantity.CPU_MS, 1).known());
+    assertFalse(fits.slope("other", Quantity.CPU_MS).known());
+    assertEquals(0, fits.at("other", Quantity.CPU_MS, 5).value());
+  }
+
+  @Test
+  void theOrderOfMeasurementsDoesNotMatter() {
+    List<Measurement> turned = new ArrayList<>(bent);
+    Collections.reverse(turned);
+    assertEquals(Fits.of(bent).all(), Fits.of(turned).all());
+  }
+
+  @Test
+  void aComputedFigureStandsNoFirmerThanItsWeakestInput() {
+    Figure measured = new Figure(10, 3, Standing.MEASURED, List.of("b"));
+    Figure assumed = Figure.assumed(5, "a");
+    assertEquals(new Figure(50, 15, Standing.ASSUMED, List.of("a", "b")), measured.times(assumed));
+    assertEquals(new Figure(2, 0.6, Standing.ASSUMED, List.of("a", "b")), measured.over(assumed));
+    assertEquals(5, measured.plus(new Figure(1, 4, Standing.EXTRAPOLATED, List.of())).error(), EXACT);
+    assertFalse(measured.plus(Figure.missing("c")).known());
+    assertFalse(measured.over(Figure.exact(0)).known());
+  }
+
+  @Test
+  void aSizesOwnErrorGoesIntoTheFigureBySlope() throws Exception {
+    Figure size = new Figure(100, 8, Standing.ASSUMED, List.of("size"));
+    Figure there = Sample.whole().at(ScaleTest.LIST_REST, Quantity.CPU_MS, size);
+    assertEquals(Sample.AT_ZERO + Sample.SLOPE * 100, there.value(), EXACT);
+    assertEquals(Sample.SLOPE * 8, there.error(), EXACT);
+    assertEquals(Standing.ASSUMED, there.standing());
+  }
+
+  @Test
+  void numbersHaveThreeDigitsAndNoLocale() {
+    assertEquals("1,230,000", Numbers.show(1_234_567));
+    assertEquals("2,700", Numbers.show(2700));
+    assertEquals("2,701", Numbers.show(2701));
+    assertEquals("-0.00123", Numbers.show(-0.001234));
+    assertEquals("12.3", Numbers.show(12.34));
+    assertEquals("34,000", Numbers.inFull(34_000));
+    assertEquals("0.017", Numbers.inFull(0.017));
+  }
+}
--- /dev/null
+++ b/src/test/java/saltlatch/lab/capacity/RolesTest.java
@@ -0,0 +1,164 @@
+package saltlatch.lab.capacity;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import saltlatch.api.Told;
+import saltlatch.lab.scale.Quantity;
+import saltlatch.member.Terms;
+
+/** The roles' formulas and the walls: what doubles when an input doubles, what is said where nothing was measured. */
+class RolesTest {
+  private static final double CLOSE = 1e-9;
+
+  private static Row row(Role role, Basis basis, String what, Moment moment) {
+    return role.rows(basis).stream().filter(row -> row.what().equals(what) && row.moment() == moment)
+        .findFirst().orElseThrow();
+  }
+
+  /** How much a figure grows when an input doubles. */
+  private static double growth(Role role, String what, Moment moment, Input doubled) throws Exception {
+    Basis basis = Sample.whole();
+    Inputs more = basis.inputs().with(doubled, 2 * basis.inputs().value(doubled));
+    Figure before = row(role, basis, what, moment).figure();
+    return row(role, new Basis(more, basis.fits()), what, moment).figure().value() / before.value();
+  }
+
+  @Test
+  void whatANodeServesIsSharedOutOverTheNodes() throws Exception {
+    Role node = new EdgeNode();
+    assertEquals(0.5, growth(node, "calls to the counter", Moment.PEAK, Input.EDGE_NODES), CLOSE);
+    assertEquals(2, growth(node, "calls to the counter", Moment.PEAK, Input.REQUESTS_PER_SECOND), CLOSE);
+    assertEquals(2, growth(node, "calls to the counter", Moment.ORDINARY, Input.DAY_MEAN_OVER_PEAK), CLOSE);
+    assertEquals(2, growth(node, "list of app servers, heap", Moment.ORDINARY, Input.APP_SERVERS), CLOSE);
+    assertEquals(2, growth(node, "plans of tenants, heap", Moment.ORDINARY, Input.TENANTS), CLOSE);
+  }
+
+  @Test
+  void whatAllNodesAskOfTheCounterIsThatOfTheRequests() throws Exception {
+    Role counter = new CounterService();
+    assertEquals(1, growth(counter, "calls, before gaps thin them", Moment.PEAK, Input.EDGE_NODES), CLOSE);
+    assertEquals(2, growth(counter, "calls, before gaps thin them", Moment.PEAK, Input.REQUESTS_PER_SECOND),
+        CLOSE);
+    assertEquals(0.5,
+        growth(counter, "processes that the calls want", Moment.PEAK, Input.COUNTER_CALLS_PER_PROCESS),
+        CLOSE);
+  }
+
+  @Test
+  void watchersAndTheirMessagesGrowWithTheNodes() throws Exception {
+    Role control = new ControlMachines();
+    assertEquals(2, growth(control, "watchers of a relay", Moment.ORDINARY, Input.EDGE_NODES), CLOSE);
+    double changes = growth(new EdgeNode(), "changes", Moment.PEAK, Input.EDGE_NODES); // fewer restarts are app servers'
+    assertEquals(2 * changes, growth(control, "messages to watchers", Moment.PEAK, Input.EDGE_NODES), CLOSE);
+    assertEquals(2, growth(control, "whole lists sent by a relay", Moment.ZONE_STARTS, Input.ZONE_STARTS),
+        CLOSE);
+    Basis basis = Sample.whole();
+    double lost = row(control, basis, "watchers of each relay left", Moment.MACHINE_LOST).figure().value();
+    assertEquals(basis.inputs().value(Input.EDGE_NODES) / 4, lost, CLOSE);
+  }
+
+  @Test
+  void whatConnectionsWantDependsOnPairsAndRequests() throws Exception {
+    Role server = new AppServer();
+    assertEquals(2,
+        growth(server, "nodes that send to it, subsets", Moment.PEAK, Input.SERVERS_KEPT_PER_SERVICE), CLOSE);
+    assertEquals(0.5, growth(server, "nodes that send to it, subsets", Moment.PEAK, Input.APP_SERVERS),
+        CLOSE);
+    Row all = row(server, Sample.whole(), "a request of one of these nodes, each", Moment.PEAK);
+    assertEquals(2700 / (650_000 / 34_000.0), all.figure().value(), CLOSE);
+  }
+
+  @Test
+  void aMinuteOfChangesIsThatOfTheLetterAndOfRestarts() throws Exception {
+    Rates rates = new Rates(Sample.whole());
+    double restarts = 1900 * (34_000 / 36_700.0) * 3;
+    assertEquals((8200 + restarts) / 86_400, rates.changes().value(), CLOSE);
+    assertEquals(2 + restarts / 86_400, rates.peakChanges().value(), CLOSE);
+  }
+
+  @Test
+  void whatWasNotMeasuredIsMissingAndNeverANumber() throws Exception {
+    Basis nothing = Sample.withoutMeasurements();
+    assertFalse(row(new EdgeNode(), nothing, "whole process with list and plans, resident", Moment.ORDINARY)
+        .figure().known());
+    assertTrue(row(new EdgeNode(), nothing, "calls to the counter", Moment.PEAK).figure().known());
+    CapacityData data = new CapacityData(nothing.inputs(), List.of(), List.of());
+    for (Table table : CapacityTables.of(data)) assertFalse(table.markdown().contains("NaN"), table.name());
+    for (Role role : Role.all()) {
+      for (Row row : role.rows(nothing)) {
+        boolean measures = row.figure().sources().stream().anyMatch(RolesTest::isTest);
+        assertEquals(measures, measures && !row.figure().known(), row.toString());
+      }
+    }
+  }
+
+  private static boolean isTest(String source) {
+    for (ScaleTest test : ScaleTest.values()) if (source.startsWith(test.id() + " ")) return true;
+    return false;
+  }
+
+  @Test
+  void whatIsMeasuredAtTheTargetStandsFirmerThanWhatIsNot() throws Exception {
+    Basis basis = Sample.whole();
+    assertEquals(Standing.MEASURED,
+        basis.at(ScaleTest.MEMBERS_REST, Quantity.CPU_MS, Input.EDGE_NODES).standing());
+    assertEquals(Standing.EXTRAPOLATED,
+        basis.at(ScaleTest.LIST_REST, Quantity.CPU_MS, Input.APP_SERVERS).standing());
+    assertEquals(Standing.ASSUMED,
+        basis.at(ScaleTest.LIST_REST, Quantity.CPU_MS, Input.ZONE_STARTS).standing());
+  }
+
+  @Test
+  void wallsAscendAndWhatIsMissingStandsLast() throws Exception {
+    for (Basis basis : List.of(Sample.whole(), Sample.withoutMeasurements())) {
+      List<Wall> walls = Walls.of(basis, List.of());
+      List<Double> known = new ArrayList<>();
+      for (Wall wall : walls) if (wall.part().known()) known.add(wall.part().value());
+      assertEquals(known.stream().sorted().toList(), known);
+      for (int i = 0; i < walls.size(); i++) assertEquals(i < known.size(), walls.get(i).part().known());
+    }
+  }
+
+  private static Wall wall(Basis basis, List<BenchDay> days, String term) {
+    return Walls.of(basis, days).stream().filter(wall -> wall.term().equals(term)).findFirst().orElseThrow();
+  }
+
+  @Test
+  void membershipsWallsAreThoseOfItsOwnFormulas() throws Exception {
+    Basis basis = Sample.withoutMeasurements();
+    double datagrams = basis.inputs().value(Input.DATAGRAMS_PER_SECOND);
+    long bound = (long) (10_000 * basis.inputs().value(Input.TAKEOVER_WITHIN_SECONDS));
+    int holds = (int) wall(basis, List.of(), "a dead node's share is in use again in time").holds().value();
+    assertTrue(Terms.of(holds, datagrams).takenOverWithin() <= bound);
+    assertTrue(Terms.of(holds + 1, datagrams).takenOverWithin() > bound);
+    assertEquals(Told.MOST_NODES,
+        wall(basis, List.of(), "a datagram tells whom a node hears").holds().value());
+  }
+
+  @Test
+  void aHeapIsFullWhereItsLineReachesIt() throws Exception {
+    Basis basis = Sample.whole();
+    Wall wall = wall(basis, List.of(), "plans in the settings fill the heap");
+    double heap = basis.inputs().value(Input.HEAP_BYTES);
+    assertEquals(heap, Sample.AT_ZERO + Sample.SLOPE * wall.holds().value(), 1e-3);
+  }
+
+  @Test
+  void quotasHoldUpToTheLargestFleetBelowTheFirstThatSlipped() throws Exception {
+    Basis basis = Sample.withoutMeasurements();
+    String term = "units beyond quotas on a day without a fault, on the bench";
+    List<BenchDay> days = List.of(day(6, 0.02), day(20, 0.01), day(100, 0.07), day(60, 0.04), day(120, 0.02));
+    assertEquals(20, wall(basis, days, term).holds().value());
+    assertFalse(wall(basis, List.of(), term).holds().known());
+    assertFalse(wall(basis, List.of(day(6, 0.5)), term).holds().known());
+  }
+
+  private static BenchDay day(int nodes, double overQuota) {
+    return new BenchDay("site", "calm", nodes, 1, "0000000", overQuota, 0, 0);
+  }
+}
