--- a/src/main/java/saltlatch/lab/capacity/Fits.java
+++ b/src/main/java/saltlatch/lab/capacity/Fits.java
@@ -20,6 +20,7 @@
       .thenComparingDouble(Point::value);
 
   private final Map<String, Map<Quantity, Fit>> fits = new TreeMap<>();
+  private final Map<String, Double> leastCounts = new TreeMap<>();
 
   private Fits() {}
 
@@ -41,6 +42,9 @@
       if (fit != null) byQuantity.put(quantity, fit);
     }
     fits.put(test, byQuantity);
+    repeats.stream().filter(one -> one.values().containsKey(Quantity.COUNT))
+        .mapToDouble(one -> one.values().get(Quantity.COUNT)).min()
+        .ifPresent(least -> leastCounts.put(test, least));
   }
 
   private static Fit fit(String test, Quantity quantity, List<Measurement> repeats) {
@@ -80,6 +84,13 @@
     return at(test, quantity, 0);
   }
 
+  /** The size at which something ended, of a test that looks for it: the least of its repeats. */
+  public Figure end(String test) {
+    Double least = leastCounts.get(test);
+    if (least == null) return Figure.missing(name(test, Quantity.COUNT));
+    return new Figure(least, 0, Standing.MEASURED, List.of(name(test, Quantity.COUNT)));
+  }
+
   static String name(String test, Quantity quantity) {
     return test + " " + quantity.name().toLowerCase(Locale.ROOT);
   }
--- a/src/main/java/saltlatch/lab/capacity/Rates.java
+++ b/src/main/java/saltlatch/lab/capacity/Rates.java
@@ -64,6 +64,6 @@
 
   /** Bytes of a whole list. */
   Figure listBytes() {
-    return basis.at(ScaleTest.LIST_START, Quantity.BYTES_IN, Input.APP_SERVERS);
+    return basis.at(Series.LIST_START, Quantity.BYTES_IN, Input.APP_SERVERS);
   }
 }
--- a/src/main/java/saltlatch/lab/capacity/ScaleTest.java
+++ b/src/main/java/saltlatch/lab/capacity/Series.java
@@ -1,11 +1,13 @@
 package saltlatch.lab.capacity;
 
-/** Scale tests whose measurements the formulas use, and what one value of each counts. */
-public enum ScaleTest {
+/** Measurements of the scale tests that the formulas use, and what one value of each counts. */
+public enum Series {
   LIST_START("list.start", "a node from its start until it holds the list"),
   LIST_REST("list.rest", "a node a second, while nothing changes"),
   LIST_CHANGE("list.change", "a node for a change of one app server"),
   PLANS_START("plans.start", "a node from its start until it serves"),
+  PLANS_ENDS("plans.ends", "the most plans with which a node started"),
+  WATCHERS_REST("watchers.rest", "one discovery stand-in a second, while nothing changes"),
   WATCHERS_CHANGE("watchers.change", "one discovery stand-in for a change"),
   WATCHERS_WHOLE("watchers.whole", "one discovery stand-in for a whole list to every watcher"),
   MEMBERS_REST("members.rest", "a node a second, while nobody fails"),
@@ -20,7 +22,7 @@
   private final String id;
   private final String counts;
 
-  ScaleTest(String id, String counts) {
+  Series(String id, String counts) {
     this.id = id;
     this.counts = counts;
   }
