--- a/src/main/java/saltlatch/cli/CapacityReportCommand.java
+++ b/src/main/java/saltlatch/cli/CapacityReportCommand.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -30,6 +31,9 @@
       List<Table> tables = CapacityTables.of(CapacityData.read(data));
       String text = Files.readString(page);
       return check ? check(text, tables) : write(text, tables);
+    } catch (NoSuchFileException e) {
+      System.err.println("saltlatch lab scale report: no such file: " + e.getFile());
+      return 2;
     } catch (IOException | CapacityPage.Misfit e) {
       System.err.println("saltlatch lab scale report: " + e.getMessage());
       return 2;
--- a/src/main/java/saltlatch/lab/capacity/Input.java
+++ b/src/main/java/saltlatch/lab/capacity/Input.java
@@ -38,8 +38,8 @@
   REGION_CUT_SECONDS(Kind.ASSUMPTION),
   FIRST_TIER_RELAYS(Kind.ASSUMPTION),
   START_WITHIN_SECONDS(Kind.ASSUMPTION),
-  HEAP_BYTES(Kind.ASSUMPTION),
-  LIST_BOUND_BYTES(Kind.ASSUMPTION),
+  HEAP_BYTES(Kind.CONSTANT),
+  LIST_BOUND_BYTES(Kind.CONSTANT),
   COUNTER_CALLS_PER_REQUEST(Kind.ASSUMPTION),
   COUNTER_BYTES_PER_CALL(Kind.ASSUMPTION),
   COUNTER_CALLS_PER_PROCESS(Kind.ASSUMPTION),
@@ -55,6 +55,8 @@
   public enum Kind {
     /** The operators' letter. */
     TARGET,
+    /** A constant of the text, which the reason names. */
+    CONSTANT,
     /** This project; the file names the reason. */
     ASSUMPTION
   }
--- a/src/main/java/saltlatch/lab/capacity/Inputs.java
+++ b/src/main/java/saltlatch/lab/capacity/Inputs.java
@@ -80,9 +80,12 @@
     return given.get(input).value;
   }
 
-  /** The value as a figure: the target's stand firm, an assumption's are assumed. */
+  /** The value as a figure: the target's and the text's are given, an assumption's are assumed. */
   public Figure figure(Input input) {
-    return input.kind() == Input.Kind.TARGET ? Figure.exact(value(input))
-        : Figure.assumed(value(input), input.key());
+    return switch (input.kind()) {
+      case TARGET -> Figure.exact(value(input));
+      case CONSTANT -> Figure.exact(value(input)).from(input.key());
+      case ASSUMPTION -> Figure.assumed(value(input), input.key());
+    };
   }
 }
