Capacity page: what comes of each wall, and mechanisms by it; measured sizes are their means

Cause: the order of mechanisms followed the part of the target alone, and a size that was run was told by the line. Change: each wall has a consequence, those that stop nodes come first; a size that was run is the mean of its repeats with its standard error; memory of the process with the list alone; one discovery's network as a wall.

--- a/src/main/java/saltlatch/lab/capacity/CapacityTables.java
+++ b/src/main/java/saltlatch/lab/capacity/CapacityTables.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import saltlatch.lab.scale.LineFit;
+import saltlatch.lab.scale.Quantity;
 
 /** All generated tables of docs/CAPACITY.md, from the data alone: no clock, locale, machine or hash order. */
 public final class CapacityTables {
@@ -52,10 +53,12 @@
 
   private Table slopes() {
     List<List<String>> rows = new ArrayList<>();
-    for (Fit fit : basis.fits().all()) rows.add(slope(fit));
-    if (rows.isEmpty()) rows.add(List.of("missing", NONE, NONE, NONE, NONE, NONE, NONE, NONE, NONE));
+    for (Fit fit : basis.fits().all()) {
+      if (fit.quantity() != Quantity.COUNT) rows.add(slope(fit)); // a count says how a test ended, no cost
+    }
     return new Table("slopes", List.of("measured", "grows", "sizes (repeats in all)", "at size 0",
-        "for each more ± error", "residual", "largest, predicted", "largest, measured", "commit"), rows);
+        "for each more ± error", "residual", "largest, predicted", "largest, measured", "off by", "commit"),
+        rows);
   }
 
   private static List<String> slope(Fit fit) {
@@ -64,7 +67,13 @@
     return List.of(fit.name(), fit.grows(), sizes + " (" + fit.points().size() + ")",
         Numbers.show(fit.line().intercept()), withError(fit.line().slope(), fit.slopeError()),
         Numbers.show(fit.line().residual()), predicted == null ? "too few sizes" : Numbers.show(predicted),
-        Numbers.show(fit.measuredLargest()), String.join(", ", fit.commits()));
+        Numbers.show(fit.measuredLargest()), offBy(predicted, fit.measuredLargest()),
+        String.join(", ", fit.commits()));
+  }
+
+  private static String offBy(Double predicted, double measured) {
+    if (predicted == null || measured == 0) return NONE;
+    return Math.round(100 * (predicted - measured) / measured) + " %";
   }
 
   private Table tests() {
@@ -112,19 +121,20 @@
     for (Wall wall : walls) {
       Figure part = wall.part();
       rows.add(List.of(part.known() ? Numbers.show(part.value()) : "missing", wall.term(),
-          shown(wall.holds(), wall.unit()), Numbers.show(wall.target().value()), part.standing().toString(),
-          sources(part), wall.mechanism().title()));
+          wall.then().title(), shown(wall.holds(), wall.unit()), Numbers.show(wall.target().value()),
+          part.standing().toString(), sources(part), wall.mechanism().title()));
     }
-    return new Table("walls", List.of("part of the target", "what breaks", "holds up to", "target", "stands",
-        "from", "taken away by"), rows);
+    return new Table("walls", List.of("part of the target", "what breaks", "then", "holds up to", "target",
+        "stands", "from", "taken away by"), rows);
   }
 
-  /** The mechanisms by the first wall that each takes away. */
+  /** The mechanisms: those first without which nodes stop working, then by the first wall that each takes away. */
   private static Table mechanisms(List<Wall> walls) {
     Map<Mechanism, List<Wall>> byMechanism = new EnumMap<>(Mechanism.class);
     for (Wall wall : walls) byMechanism.computeIfAbsent(wall.mechanism(), m -> new ArrayList<>()).add(wall);
     List<Mechanism> order = new ArrayList<>(byMechanism.keySet());
-    order.sort(Comparator.comparingInt(mechanism -> walls.indexOf(byMechanism.get(mechanism).get(0))));
+    order.sort(Comparator.comparing((Mechanism mechanism) -> !stops(byMechanism.get(mechanism)))
+        .thenComparingInt(mechanism -> walls.indexOf(byMechanism.get(mechanism).get(0))));
     List<List<String>> rows = new ArrayList<>();
     for (Mechanism mechanism : order) {
       Figure first = byMechanism.get(mechanism).get(0).part();
@@ -136,6 +146,12 @@
         List.of("order", "mechanism", "state", "needed from this part on", "walls"), rows);
   }
 
+  /** Whether one of these walls stands below the target and stops nodes. */
+  private static boolean stops(List<Wall> walls) {
+    return walls.stream()
+        .anyMatch(wall -> wall.then() == Consequence.STOPS && wall.part().known() && wall.part().value() < 1);
+  }
+
   private Table bench() {
     List<List<String>> rows = new ArrayList<>();
     for (BenchDay day : data.benchDays()) {
--- a/src/main/java/saltlatch/lab/capacity/EdgeNode.java
+++ b/src/main/java/saltlatch/lab/capacity/EdgeNode.java
@@ -32,16 +32,22 @@
   private static void state(Basis basis, List<Row> rows) {
     Figure list = basis.slope(Series.LIST_START, Quantity.HEAP_BYTES).times(basis.in(Input.APP_SERVERS));
     Figure plans = basis.slope(Series.PLANS_START, Quantity.HEAP_BYTES).times(plans(basis));
+    Figure members = basis.slope(Series.MEMBERS_REST, Quantity.HEAP_BYTES).times(basis.in(Input.EDGE_NODES));
     Figure heap = basis.in(Input.HEAP_BYTES);
     rows.add(Row.of("list of app servers, heap", Moment.ORDINARY, list, "B", LIST).within(heap));
     rows.add(Row.of("plans of tenants, heap", Moment.ORDINARY, plans, "B", SETTINGS).within(heap));
     rows.add(Row.of("routes, heap", Moment.ORDINARY, Figure.missing("a table of routes"), "B",
         "none: the text has no table of routes").within(heap));
-    rows.add(Row.of("members, heap", Moment.ORDINARY,
-        basis.slope(Series.MEMBERS_REST, Quantity.HEAP_BYTES).times(basis.in(Input.EDGE_NODES)), "B",
-        MEMBERSHIP).within(heap));
-    rows.add(Row.of("whole process with list and plans, resident", Moment.ORDINARY, resident(basis), "B",
-        LIST + "; " + SETTINGS).within(basis.in(Input.NODE_MEMORY_BYTES)));
+    rows.add(Row.of("members, heap", Moment.ORDINARY, members, "B", MEMBERSHIP).within(heap));
+    Figure process = basis.intercept(Series.LIST_START, Quantity.HEAP_BYTES);
+    rows.add(Row.of("process, list and plans, heap", Moment.ORDINARY, process.plus(list).plus(plans), "B",
+        LIST + "; " + SETTINGS).within(heap));
+    rows.add(Row
+        .of("process with the list, resident", Moment.ORDINARY,
+            basis.at(Series.LIST_START, Quantity.RSS_BYTES, Input.APP_SERVERS), "B", LIST)
+        .within(basis.in(Input.NODE_MEMORY_BYTES)));
+    rows.add(Row.of("process with list and plans, resident, at its highest", Moment.ORDINARY, resident(basis),
+        "B", LIST + "; " + SETTINGS).within(basis.in(Input.NODE_MEMORY_BYTES)));
   }
 
   /** The process with its list, and what the plans add to it. */
@@ -91,8 +97,11 @@
     Figure list = basis.at(Series.LIST_REST, Quantity.CPU_MS, Input.APP_SERVERS)
         .plus(basis.at(Series.LIST_CHANGE, Quantity.CPU_MS, Input.APP_SERVERS).times(changes));
     Figure members = basis.at(Series.MEMBERS_REST, Quantity.CPU_MS, Input.EDGE_NODES);
-    rows.add(Row.of("list", moment, list, "ms/s", LIST).within(budget));
+    rows.add(Row.of("process at rest, and the list's changes", moment, list, "ms/s", LIST).within(budget));
     rows.add(Row.of("membership", moment, members, "ms/s", MEMBERSHIP).within(budget));
+    rows.add(
+        Row.of("control without the counter", moment, list.plus(members), "ms/s", LIST + "; " + MEMBERSHIP)
+            .within(budget));
     rows.add(Row.of("requests, no control", moment, basis.at(Series.REQUESTS, Quantity.CPU_MS, requests),
         "ms/s", "`node.Station`"));
   }
--- a/src/main/java/saltlatch/lab/capacity/Fit.java
+++ b/src/main/java/saltlatch/lab/capacity/Fit.java
@@ -47,12 +47,18 @@
 
   /** Mean of the repeats at the largest size. */
   public double measuredLargest() {
-    return points.stream().filter(p -> p.size() == largest()).mapToDouble(Point::value).average()
-        .orElseThrow();
+    return mean(points.stream().filter(p -> p.size() == largest()).map(Point::value).toList());
   }
 
-  /** The line's value at a size: measured up to the largest size run, extrapolated beyond. */
+  /**
+   * The value at a size: the repeats' mean and its standard error where the size was run; else the line's, measured up to
+   * the largest size run and extrapolated beyond.
+   */
   public Figure at(double size) {
+    List<Double> repeats = points.stream().filter(p -> p.size() == size).map(Point::value).toList();
+    if (!repeats.isEmpty()) {
+      return new Figure(mean(repeats), meanError(repeats), Standing.MEASURED, List.of(name()));
+    }
     Standing standing = size <= largest() ? Standing.MEASURED : Standing.EXTRAPOLATED;
     return new Figure(line.at(size), errorAt(size), standing, List.of(name()));
   }
@@ -67,6 +73,18 @@
     return Fits.name(test, quantity);
   }
 
+  private static double mean(List<Double> values) {
+    return values.stream().mapToDouble(Double::doubleValue).average().orElseThrow();
+  }
+
+  /** Standard error of a mean; 0 of a single value, of which nothing is known. */
+  private static double meanError(List<Double> values) {
+    if (values.size() < 2) return 0;
+    double mean = mean(values);
+    double squares = values.stream().mapToDouble(value -> (value - mean) * (value - mean)).sum();
+    return Math.sqrt(squares / (values.size() - 1) / values.size());
+  }
+
   private double meanSize() {
     return points.stream().mapToDouble(Point::size).average().orElseThrow();
   }
--- a/src/main/java/saltlatch/lab/capacity/Walls.java
+++ b/src/main/java/saltlatch/lab/capacity/Walls.java
@@ -38,46 +38,51 @@
     Figure appServers = basis.in(Input.APP_SERVERS);
     Figure nodes = basis.in(Input.EDGE_NODES);
     Figure entry = basis.slope(Series.LIST_START, Quantity.BYTES_IN);
-    all.add(new Wall("settings change by a restart of every node alone", Figure.exact(0),
+    all.add(new Wall("settings change by a restart of every node alone", Consequence.LATE, Figure.exact(0),
         basis.in(Input.CHANGES_PER_DAY), "changes a day", Mechanism.RUNNING_SETTINGS));
-    all.add(new Wall("a line of the watch beyond its bound is refused, for ever",
+    all.add(new Wall("a line of the watch beyond its bound is refused, for ever", Consequence.STOPS,
         basis.in(Input.LIST_BOUND_BYTES).over(entry), appServers, "app servers", Mechanism.BOUNDED_LIST));
     Figure bytesToStart = basis.in(Input.NODE_BYTES_PER_SECOND).times(basis.in(Input.START_WITHIN_SECONDS));
-    all.add(new Wall("a starting node reads the whole list within its budget of bytes",
+    all.add(new Wall("a starting node reads the whole list within its budget of bytes", Consequence.BUDGET,
         bytesToStart.over(entry), appServers, "app servers", Mechanism.KEPT_LIST));
     Figure msPerChange = Figure.exact(MS_PER_SECOND).over(new Rates(basis).peakChanges());
-    all.add(new Wall("one discovery's whole core goes to changes at the peak",
+    all.add(new Wall("one discovery's whole core goes to changes at the peak", Consequence.LATE,
         sizeAt(Series.WATCHERS_CHANGE, Quantity.CPU_MS, msPerChange), nodes, "watchers", Mechanism.RELAYS));
     Figure inForce = basis.in(Input.IN_FORCE_SECONDS).times(MS_PER_SECOND);
-    all.add(new Wall("one discovery sends the whole list to all in the time to be in force",
-        sizeAt(Series.WATCHERS_WHOLE, Quantity.CPU_MS, inForce), nodes, "watchers", Mechanism.RELAYS));
+    all.add(new Wall("one discovery's core sends the whole list to all in the time to be in force",
+        Consequence.LATE, sizeAt(Series.WATCHERS_WHOLE, Quantity.CPU_MS, inForce), nodes, "watchers",
+        Mechanism.RELAYS));
+    Figure sent = basis.in(Input.NETWORK_BYTES_PER_SECOND).times(basis.in(Input.IN_FORCE_SECONDS));
+    all.add(new Wall("one discovery's network sends the whole list to all in the time to be in force",
+        Consequence.LATE, sent.over(new Rates(basis).listBytes()), nodes, "watchers", Mechanism.RELAYS));
   }
 
   private void memory(List<Wall> all) {
     Figure heap = basis.in(Input.HEAP_BYTES);
     Figure plans = basis.in(Input.TENANTS).times(basis.in(Input.PLANS_PER_TENANT));
-    all.add(new Wall("plans in the settings fill the heap", basis.fits().end(Series.PLANS_ENDS.id()), plans,
-        "plans", Mechanism.PLANS_BY_DEMAND));
-    all.add(new Wall("the list fills the heap", sizeAt(Series.LIST_START, Quantity.HEAP_BYTES, heap),
-        basis.in(Input.APP_SERVERS), "app servers", Mechanism.SUBSETS));
+    all.add(new Wall("plans in the settings fill the heap", Consequence.STOPS,
+        basis.fits().end(Series.PLANS_ENDS.id()), plans, "plans", Mechanism.PLANS_BY_DEMAND));
+    all.add(new Wall("the list fills the heap", Consequence.STOPS,
+        sizeAt(Series.LIST_START, Quantity.HEAP_BYTES, heap), basis.in(Input.APP_SERVERS), "app servers",
+        Mechanism.SUBSETS));
   }
 
   private void requests(List<Wall> all) {
     Rates rates = new Rates(basis);
     Figure peak = basis.in(Input.REQUESTS_PER_SECOND);
-    all.add(new Wall("connections idle out between two requests of a pair",
+    all.add(new Wall("connections idle out between two requests of a pair", Consequence.BUDGET,
         rates.peakRequestsPerNode().times(basis.in(Input.IDLE_CLOSE_SECONDS)), basis.in(Input.APP_SERVERS),
         "app servers that a node sends to", Mechanism.SUBSETS));
-    all.add(new Wall("one counter process answers all calls",
+    all.add(new Wall("one counter process answers all calls", Consequence.WRONG_QUOTAS,
         basis.in(Input.COUNTER_CALLS_PER_PROCESS).over(basis.in(Input.COUNTER_CALLS_PER_REQUEST)), peak,
         "requests/s", Mechanism.DIVIDED_COUNTER));
     Figure bytesPerRequest = rates.counterBytes(Figure.exact(1));
-    all.add(new Wall("a node's calls to the counter alone reach its budget of bytes",
+    all.add(new Wall("a node's calls to the counter alone reach its budget of bytes", Consequence.BUDGET,
         basis.in(Input.NODE_BYTES_PER_SECOND).over(bytesPerRequest), rates.peakRequestsPerNode(),
         "requests/s at a node", Mechanism.DIVIDED_COUNTER));
-    all.add(new Wall("units beyond quotas on a calm day, on the bench", quotasHold(),
-        basis.in(Input.EDGE_NODES), "nodes", Mechanism.FLEET_QUOTAS));
-    all.add(new Wall("the load tool's own lateness hides the added latency",
+    all.add(new Wall("units beyond quotas on a calm day, on the bench", Consequence.WRONG_QUOTAS,
+        quotasHold(), basis.in(Input.EDGE_NODES), "nodes", Mechanism.FLEET_QUOTAS));
+    all.add(new Wall("the load tool's own lateness hides the added latency", Consequence.UNSEEN,
         Figure.missing("a load tool late by less than a tenth of added_p99_ms"), peak, "requests/s",
         Mechanism.PUNCTUAL_LOAD));
   }
@@ -95,12 +100,13 @@
   private void membership(List<Wall> all) {
     Figure nodes = basis.in(Input.EDGE_NODES);
     double bound = basis.inputs().value(Input.TAKEOVER_WITHIN_SECONDS) * TENTHS_PER_SECOND;
-    all.add(new Wall("a dead node's share is in use again in time",
+    all.add(new Wall("a dead node's share is in use again in time", Consequence.WRONG_QUOTAS,
         fleet(terms -> terms.takenOverWithin(), bound), nodes, "nodes", Mechanism.MEMBER_CELLS));
-    all.add(new Wall("a datagram tells whom a node hears",
+    all.add(new Wall("a datagram tells whom a node hears", Consequence.WRONG_QUOTAS,
         Figure.exact(Told.MOST_NODES).from("api.Told.MOST_NODES"), nodes, "nodes", Mechanism.MEMBER_CELLS));
     all.add(new Wall("one quorum for the whole fleet: a region cut off keeps part of its shares",
-        Figure.exact(1), basis.in(Input.REGIONS), "regions", Mechanism.REGIONAL_SHARES));
+        Consequence.WRONG_QUOTAS, Figure.exact(1), basis.in(Input.REGIONS), "regions",
+        Mechanism.REGIONAL_SHARES));
   }
 
   /** The largest fleet whose time, by membership's own formulas, is within a bound. */
--- a/src/test/java/saltlatch/lab/capacity/FitsTest.java
+++ b/src/test/java/saltlatch/lab/capacity/FitsTest.java
@@ -44,6 +44,15 @@
     assertEquals(List.of("t cpu_ms"), fits.at("t", Quantity.CPU_MS, 4).sources());
   }
 
+  @Test
+  void aSizeThatWasRunIsTheMeanOfItsRepeats() {
+    List<Measurement> more = new ArrayList<>(bent);
+    more.add(Sample.one("t", 4, 10));
+    Figure there = Fits.of(more).at("t", Quantity.CPU_MS, 4);
+    assertEquals(9, there.value(), EXACT);
+    assertEquals(1, there.error(), EXACT); // sqrt((1 + 1) / 1 / 2)
+  }
+
   @Test
   void withoutTwoSizesNothingIsKnown() {
     Fits fits = Fits.of(List.of(Sample.one("t", 1, 1), Sample.one("t", 1, 2)));
--- a/src/test/java/saltlatch/lab/capacity/RolesTest.java
+++ b/src/test/java/saltlatch/lab/capacity/RolesTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import saltlatch.api.Told;
+import saltlatch.lab.scale.Measurement;
 import saltlatch.lab.scale.Quantity;
 import saltlatch.member.Terms;
 
@@ -84,8 +85,9 @@
   @Test
   void whatWasNotMeasuredIsMissingAndNeverANumber() throws Exception {
     Basis nothing = Sample.withoutMeasurements();
-    assertFalse(row(new EdgeNode(), nothing, "whole process with list and plans, resident", Moment.ORDINARY)
-        .figure().known());
+    assertFalse(
+        row(new EdgeNode(), nothing, "process with list and plans, resident, at its highest", Moment.ORDINARY)
+            .figure().known());
     assertTrue(row(new EdgeNode(), nothing, "calls to the counter", Moment.PEAK).figure().known());
     CapacityData data = new CapacityData(nothing.inputs(), List.of(), List.of());
     for (Table table : CapacityTables.of(data)) assertFalse(table.markdown().contains("NaN"), table.name());
@@ -123,6 +125,16 @@
     }
   }
 
+  @Test
+  void whatStopsNodesIsNeededBeforeWhatCosts() throws Exception {
+    List<Measurement> lists = List.of(Sample.one("list.start", 1, 100), Sample.one("list.start", 2, 200));
+    CapacityData data = new CapacityData(Sample.inputs(), lists, List.of());
+    Table mechanisms = CapacityTables.of(data).stream().filter(table -> table.name().equals("mechanisms"))
+        .findFirst().orElseThrow();
+    assertEquals(Mechanism.BOUNDED_LIST.title(), mechanisms.rows().get(0).get(1));
+    assertEquals(Mechanism.RUNNING_SETTINGS.title(), mechanisms.rows().get(1).get(1));
+  }
+
   private static Wall wall(Basis basis, List<BenchDay> days, String term) {
     return Walls.of(basis, days).stream().filter(wall -> wall.term().equals(term)).findFirst().orElseThrow();
   }
