Capacity page: calls to the counter, latency and failures from their scale tests

Need: counter.calls, requests.*, members.* count what the page assumed. Change: measured calls and bytes where they are there, the assumption beside them; a cost below 0 is missing, a repeat without an end is left out; latency added and the load tool's lateness against a tenth of it; times of membership, measured and stated. Measured: tests of the package pass; these series have not run yet and print 'missing'.

--- a/src/main/java/saltlatch/lab/capacity/CounterService.java
+++ b/src/main/java/saltlatch/lab/capacity/CounterService.java
@@ -31,11 +31,11 @@
   private static void load(Basis basis, Moment moment, List<Row> rows) {
     Rates rates = new Rates(basis);
     Figure perNode = moment == Moment.PEAK ? rates.peakRequestsPerNode() : rates.dayRequestsPerNode();
-    Figure requests = perNode.times(basis.in(Input.EDGE_NODES));
-    Figure calls = requests.times(basis.in(Input.COUNTER_CALLS_PER_REQUEST));
-    rows.add(Row.of("calls, before gaps thin them", moment, calls, "calls/s", DIVIDED)
-        .within(basis.in(Input.COUNTER_CALLS_PER_PROCESS)));
-    rows.add(Row.of("bytes, both ways", moment, rates.counterBytes(requests), "B/s", DIVIDED));
+    Figure nodes = basis.in(Input.EDGE_NODES);
+    Figure calls = rates.counterCalls(perNode).times(nodes);
+    rows.add(
+        Row.of("calls", moment, calls, "calls/s", DIVIDED).within(basis.in(Input.COUNTER_CALLS_PER_PROCESS)));
+    rows.add(Row.of("bytes, both ways", moment, rates.counterBytes(perNode).times(nodes), "B/s", DIVIDED));
     rows.add(Row.of("processes that the calls want", moment,
         calls.over(basis.in(Input.COUNTER_CALLS_PER_PROCESS)), "processes", DIVIDED));
   }
--- a/src/main/java/saltlatch/lab/capacity/EdgeNode.java
+++ b/src/main/java/saltlatch/lab/capacity/EdgeNode.java
@@ -25,6 +25,8 @@
     state(basis, rows);
     day(basis, Moment.ORDINARY, rows);
     day(basis, Moment.PEAK, rows);
+    latency(basis, rows);
+    failures(basis, rows);
     badMinutes(basis, rows);
     return rows;
   }
@@ -32,7 +34,7 @@
   private static void state(Basis basis, List<Row> rows) {
     Figure list = basis.slope(Series.LIST_START, Quantity.HEAP_BYTES).times(basis.in(Input.APP_SERVERS));
     Figure plans = basis.slope(Series.PLANS_START, Quantity.HEAP_BYTES).times(plans(basis));
-    Figure members = basis.slope(Series.MEMBERS_REST, Quantity.HEAP_BYTES).times(basis.in(Input.EDGE_NODES));
+    Figure members = basis.at(Series.MEMBERS_REST, Quantity.HEAP_BYTES, Input.EDGE_NODES);
     Figure heap = basis.in(Input.HEAP_BYTES);
     rows.add(Row.of("list of app servers, heap", Moment.ORDINARY, list, "B", LIST).within(heap));
     rows.add(Row.of("plans of tenants, heap", Moment.ORDINARY, plans, "B", SETTINGS).within(heap));
@@ -40,8 +42,10 @@
         "none: the text has no table of routes").within(heap));
     rows.add(Row.of("members, heap", Moment.ORDINARY, members, "B", MEMBERSHIP).within(heap));
     Figure process = basis.intercept(Series.LIST_START, Quantity.HEAP_BYTES);
-    rows.add(Row.of("process, list and plans, heap", Moment.ORDINARY, process.plus(list).plus(plans), "B",
-        LIST + "; " + SETTINGS).within(heap));
+    rows.add(Row
+        .of("process, list, plans and members, heap", Moment.ORDINARY,
+            process.plus(list).plus(plans).plus(members), "B", LIST + "; " + SETTINGS + "; " + MEMBERSHIP)
+        .within(heap));
     rows.add(Row
         .of("process with the list, resident", Moment.ORDINARY,
             basis.at(Series.LIST_START, Quantity.RSS_BYTES, Input.APP_SERVERS), "B", LIST)
@@ -76,6 +80,8 @@
     rows.add(Row.of("control without the counter", moment, control, "B/s", LIST + "; " + MEMBERSHIP)
         .within(budget));
     rows.add(Row.of("calls to the counter", moment, counter, "B/s", COUNTER).within(budget));
+    rows.add(Row.of("calls to the counter, by the assumptions alone", moment,
+        rates.assumedCounterBytes(requests), "B/s", COUNTER).within(budget));
     rows.add(Row.of("control with the counter", moment, control.plus(counter), "B/s",
         LIST + "; " + MEMBERSHIP + "; " + COUNTER).within(budget));
     processorTime(basis, moment, changes, requests, rows);
@@ -106,6 +112,28 @@
         "ms/s", "`node.Station`"));
   }
 
+  private static void latency(Basis basis, List<Row> rows) {
+    Figure requests = new Rates(basis).peakRequestsPerNode();
+    Figure added = basis.in(Input.ADDED_P99_MS);
+    rows.add(Row.of("added for 99 in 100 requests", Moment.PEAK,
+        basis.at(Series.REQUESTS, Quantity.P99_MS, requests), "ms", "`node.Station`").within(added));
+    rows.add(Row.of("the load tool's own lateness for 99 in 100", Moment.PEAK,
+        basis.at(Series.REQUESTS_LATE, Quantity.P99_MS, requests).or(basis.in(Input.LOAD_TOOL_LATE_MS)), "ms",
+        "`lab.load`").within(added.times(basis.in(Input.LATENESS_PART))));
+  }
+
+  private static void failures(Basis basis, List<Row> rows) {
+    String stated = Input.DATAGRAMS_PER_SECOND.key();
+    rows.add(Row
+        .of("until all hold a dead node failed", Moment.ORDINARY,
+            basis.at(Series.MEMBERS_FAILURE, Quantity.SECONDS, Input.EDGE_NODES), "s", MEMBERSHIP)
+        .within(seconds(terms(basis).failedWithin(), stated)));
+    rows.add(Row
+        .of("until a dead node's share is in use again, stated", Moment.ORDINARY,
+            seconds(terms(basis).takenOverWithin(), stated), "s", MEMBERSHIP)
+        .within(basis.in(Input.TAKEOVER_WITHIN_SECONDS)));
+  }
+
   private static void badMinutes(Basis basis, List<Row> rows) {
     Rates rates = new Rates(basis);
     Figure bytes = basis.in(Input.NODE_BYTES_PER_SECOND);
@@ -120,6 +148,8 @@
         .of("changes missed, bytes", Moment.REGION_RETURNS,
             missed.times(basis.at(Series.LIST_CHANGE, Quantity.BYTES_IN, Input.APP_SERVERS)), "B", "`since`")
         .within(bytes.times(basis.in(Input.IN_FORCE_SECONDS))));
+    rows.add(Row.of("until all agree, all started at once", Moment.REGION_RETURNS,
+        basis.at(Series.MEMBERS_BEGIN, Quantity.SECONDS, Input.EDGE_NODES), "s", MEMBERSHIP));
     rows.add(Row.of("until all views are equal, stated", Moment.REGION_RETURNS,
         seconds(terms(basis).equalWithin(), Input.DATAGRAMS_PER_SECOND.key()), "s", MEMBERSHIP));
     rows.add(Row
--- a/src/main/java/saltlatch/lab/capacity/Figure.java
+++ b/src/main/java/saltlatch/lab/capacity/Figure.java
@@ -36,6 +36,11 @@
     return standing != Standing.MISSING;
   }
 
+  /** This, or the other where nothing is known of this. */
+  public Figure or(Figure other) {
+    return known() ? this : other;
+  }
+
   /** The sum. */
   public Figure plus(Figure other) {
     return with(other, Double::sum, Math.hypot(error, other.error));
--- a/src/main/java/saltlatch/lab/capacity/Fit.java
+++ b/src/main/java/saltlatch/lab/capacity/Fit.java
@@ -57,10 +57,20 @@
   public Figure at(double size) {
     List<Double> repeats = points.stream().filter(p -> p.size() == size).map(Point::value).toList();
     if (!repeats.isEmpty()) {
-      return new Figure(mean(repeats), meanError(repeats), Standing.MEASURED, List.of(name()));
+      return cost(mean(repeats), meanError(repeats), Standing.MEASURED);
     }
-    Standing standing = size <= largest() ? Standing.MEASURED : Standing.EXTRAPOLATED;
-    return new Figure(line.at(size), errorAt(size), standing, List.of(name()));
+    return cost(line.at(size), errorAt(size), size <= largest() ? Standing.MEASURED : Standing.EXTRAPOLATED);
+  }
+
+  /** Nothing costs less than nothing: where a difference of two readings is below 0, nothing is known. */
+  private Figure cost(double value, double error, Standing standing) {
+    if (value < 0) return Figure.missing(name() + " (below 0 there)");
+    return new Figure(value, error, standing, List.of(name()));
+  }
+
+  /** The line's value at size 0, which may be below 0. */
+  public Figure intercept() {
+    return new Figure(line.intercept(), errorAt(0), Standing.MEASURED, List.of(name()));
   }
 
   /** What one more adds. */
--- a/src/main/java/saltlatch/lab/capacity/Fits.java
+++ b/src/main/java/saltlatch/lab/capacity/Fits.java
@@ -48,7 +48,8 @@
   }
 
   private static Fit fit(String test, Quantity quantity, List<Measurement> repeats) {
-    List<Measurement> used = repeats.stream().filter(one -> one.values().containsKey(quantity)).toList();
+    List<Measurement> used = repeats.stream()
+        .filter(one -> Double.isFinite(one.values().getOrDefault(quantity, Double.NaN))).toList(); // others did not end
     List<Point> points = used.stream().map(one -> new Point(one.size(), one.values().get(quantity)))
         .sorted(ORDER).toList();
     if (points.stream().map(Point::size).distinct().count() < 2) return null;
@@ -81,7 +82,8 @@
 
   /** What is there at size 0; missing without a line. */
   public Figure intercept(String test, Quantity quantity) {
-    return at(test, quantity, 0);
+    Fit fit = find(test, quantity);
+    return fit == null ? Figure.missing(name(test, quantity)) : fit.intercept();
   }
 
   /** The size at which something ended, of a test that looks for it: the least of its repeats. */
--- a/src/main/java/saltlatch/lab/capacity/Rates.java
+++ b/src/main/java/saltlatch/lab/capacity/Rates.java
@@ -46,8 +46,20 @@
     return peakRequestsPerNode().times(basis.in(Input.DAY_MEAN_OVER_PEAK));
   }
 
+  /** Calls a second of a node to the counter at so many requests a second. */
+  Figure counterCalls(Figure requests) {
+    return basis.at(Series.COUNTER_CALLS, Quantity.MESSAGES_OUT, requests)
+        .or(requests.times(basis.in(Input.COUNTER_CALLS_PER_REQUEST)));
+  }
+
   /** Bytes a second of a node's calls to the counter, both ways, at so many requests a second. */
   Figure counterBytes(Figure requests) {
+    return basis.at(Series.COUNTER_CALLS, Quantity.BYTES_OUT, requests)
+        .plus(basis.at(Series.COUNTER_CALLS, Quantity.BYTES_IN, requests)).or(assumedCounterBytes(requests));
+  }
+
+  /** The same by the assumptions alone. */
+  Figure assumedCounterBytes(Figure requests) {
     return requests.times(basis.in(Input.COUNTER_CALLS_PER_REQUEST))
         .times(basis.in(Input.COUNTER_BYTES_PER_CALL));
   }
--- a/src/main/java/saltlatch/lab/capacity/Walls.java
+++ b/src/main/java/saltlatch/lab/capacity/Walls.java
@@ -73,18 +73,23 @@
     all.add(new Wall("connections idle out between two requests of a pair", Consequence.BUDGET,
         rates.peakRequestsPerNode().times(basis.in(Input.IDLE_CLOSE_SECONDS)), basis.in(Input.APP_SERVERS),
         "app servers that a node sends to", Mechanism.SUBSETS));
+    Figure callsPerRequest = basis.slope(Series.COUNTER_CALLS, Quantity.MESSAGES_OUT)
+        .or(basis.in(Input.COUNTER_CALLS_PER_REQUEST));
     all.add(new Wall("one counter process answers all calls", Consequence.WRONG_QUOTAS,
-        basis.in(Input.COUNTER_CALLS_PER_PROCESS).over(basis.in(Input.COUNTER_CALLS_PER_REQUEST)), peak,
-        "requests/s", Mechanism.DIVIDED_COUNTER));
-    Figure bytesPerRequest = rates.counterBytes(Figure.exact(1));
+        basis.in(Input.COUNTER_CALLS_PER_PROCESS).over(callsPerRequest), peak, "requests/s",
+        Mechanism.DIVIDED_COUNTER));
+    Figure bytesPerRequest = basis.slope(Series.COUNTER_CALLS, Quantity.BYTES_OUT)
+        .plus(basis.slope(Series.COUNTER_CALLS, Quantity.BYTES_IN))
+        .or(rates.assumedCounterBytes(Figure.exact(1)));
     all.add(new Wall("a node's calls to the counter alone reach its budget of bytes", Consequence.BUDGET,
         basis.in(Input.NODE_BYTES_PER_SECOND).over(bytesPerRequest), rates.peakRequestsPerNode(),
         "requests/s at a node", Mechanism.DIVIDED_COUNTER));
     all.add(new Wall("units beyond quotas on a calm day, on the bench", Consequence.WRONG_QUOTAS,
         quotasHold(), basis.in(Input.EDGE_NODES), "nodes", Mechanism.FLEET_QUOTAS));
+    Figure late = basis.in(Input.ADDED_P99_MS).times(basis.in(Input.LATENESS_PART));
     all.add(new Wall("the load tool's own lateness hides the added latency", Consequence.UNSEEN,
-        Figure.missing("a load tool late by less than a tenth of added_p99_ms"), peak, "requests/s",
-        Mechanism.PUNCTUAL_LOAD));
+        sizeAt(Series.REQUESTS_LATE, Quantity.P99_MS, late), rates.peakRequestsPerNode(),
+        "requests/s at a node", Mechanism.PUNCTUAL_LOAD));
   }
 
   /** The largest fleet up to which every day of the bench stayed within the margin; 0: not the smallest played. */
@@ -118,10 +123,11 @@
         .from("member.Terms");
   }
 
-  /** The size at which a series' line reaches a value. */
+  /** The size at which a series' line reaches a value; 0 where it is above it from the beginning. */
   private Figure sizeAt(Series series, Quantity quantity, Figure value) {
     Figure size = value.minus(basis.intercept(series, quantity)).over(basis.slope(series, quantity));
     Fit fit = basis.fits().find(series.id(), quantity);
+    if (size.known() && size.value() < 0) return new Figure(0, 0, size.standing(), size.sources());
     boolean beyond = fit != null && size.known() && size.value() > fit.largest();
     return beyond ? size.withStanding(Standing.EXTRAPOLATED) : size;
   }
--- a/src/test/java/saltlatch/lab/capacity/FitsTest.java
+++ b/src/test/java/saltlatch/lab/capacity/FitsTest.java
@@ -53,6 +53,17 @@
     assertEquals(1, there.error(), EXACT); // sqrt((1 + 1) / 1 / 2)
   }
 
+  @Test
+  void aCostBelowNothingIsMissingAndARepeatThatDidNotEndIsLeftOut() {
+    List<Measurement> odd = new ArrayList<>(bent);
+    odd.add(Sample.one("t", 100, Double.NaN));
+    assertEquals(4, Fits.of(odd).find("t", Quantity.SECONDS).largest());
+    Figure below = Fits.of(odd).at("t", Quantity.SECONDS, 0.5);
+    assertFalse(below.known());
+    assertEquals(List.of("t seconds (below 0 there)"), below.sources());
+    assertEquals(-2, Fits.of(odd).intercept("t", Quantity.SECONDS).value(), EXACT);
+  }
+
   @Test
   void withoutTwoSizesNothingIsKnown() {
     Fits fits = Fits.of(List.of(Sample.one("t", 1, 1), Sample.one("t", 1, 2)));
--- a/src/test/java/saltlatch/lab/capacity/RolesTest.java
+++ b/src/test/java/saltlatch/lab/capacity/RolesTest.java
@@ -22,19 +22,23 @@
   }
 
   /** How much a figure grows when an input doubles. */
-  private static double growth(Role role, String what, Moment moment, Input doubled) throws Exception {
-    Basis basis = Sample.whole();
+  private static double growth(Basis basis, Role role, String what, Moment moment, Input doubled) {
     Inputs more = basis.inputs().with(doubled, 2 * basis.inputs().value(doubled));
     Figure before = row(role, basis, what, moment).figure();
     return row(role, new Basis(more, basis.fits()), what, moment).figure().value() / before.value();
   }
 
+  private static double growth(Role role, String what, Moment moment, Input doubled) throws Exception {
+    return growth(Sample.whole(), role, what, moment, doubled);
+  }
+
   @Test
   void whatANodeServesIsSharedOutOverTheNodes() throws Exception {
     Role node = new EdgeNode();
-    assertEquals(0.5, growth(node, "calls to the counter", Moment.PEAK, Input.EDGE_NODES), CLOSE);
-    assertEquals(2, growth(node, "calls to the counter", Moment.PEAK, Input.REQUESTS_PER_SECOND), CLOSE);
-    assertEquals(2, growth(node, "calls to the counter", Moment.ORDINARY, Input.DAY_MEAN_OVER_PEAK), CLOSE);
+    String calls = "calls to the counter, by the assumptions alone";
+    assertEquals(0.5, growth(node, calls, Moment.PEAK, Input.EDGE_NODES), CLOSE);
+    assertEquals(2, growth(node, calls, Moment.PEAK, Input.REQUESTS_PER_SECOND), CLOSE);
+    assertEquals(2, growth(node, calls, Moment.ORDINARY, Input.DAY_MEAN_OVER_PEAK), CLOSE);
     assertEquals(2, growth(node, "list of app servers, heap", Moment.ORDINARY, Input.APP_SERVERS), CLOSE);
     assertEquals(2, growth(node, "plans of tenants, heap", Moment.ORDINARY, Input.TENANTS), CLOSE);
   }
@@ -42,9 +46,12 @@
   @Test
   void whatAllNodesAskOfTheCounterIsThatOfTheRequests() throws Exception {
     Role counter = new CounterService();
-    assertEquals(1, growth(counter, "calls, before gaps thin them", Moment.PEAK, Input.EDGE_NODES), CLOSE);
-    assertEquals(2, growth(counter, "calls, before gaps thin them", Moment.PEAK, Input.REQUESTS_PER_SECOND),
-        CLOSE);
+    Basis assumed = Sample.withoutMeasurements();
+    assertEquals(2 * 650_000, row(counter, assumed, "calls", Moment.PEAK).figure().value(), 1e-3);
+    assertEquals(1, growth(assumed, counter, "calls", Moment.PEAK, Input.EDGE_NODES), CLOSE);
+    assertEquals(2, growth(assumed, counter, "calls", Moment.PEAK, Input.REQUESTS_PER_SECOND), CLOSE);
+    double perNode = Sample.AT_ZERO + Sample.SLOPE * 650_000 / 2700;
+    assertEquals(2700 * perNode, row(counter, Sample.whole(), "calls", Moment.PEAK).figure().value(), 1e-3);
     assertEquals(0.5,
         growth(counter, "processes that the calls want", Moment.PEAK, Input.COUNTER_CALLS_PER_PROCESS),
         CLOSE);
@@ -88,7 +95,6 @@
     assertFalse(
         row(new EdgeNode(), nothing, "process with list and plans, resident, at its highest", Moment.ORDINARY)
             .figure().known());
-    assertTrue(row(new EdgeNode(), nothing, "calls to the counter", Moment.PEAK).figure().known());
     CapacityData data = new CapacityData(nothing.inputs(), List.of(), List.of());
     for (Table table : CapacityTables.of(data)) assertFalse(table.markdown().contains("NaN"), table.name());
     for (Role role : Role.all()) {
