Capacity page: a place for the runs of relays and hollow nodes

Need: outcomes of the relay runs are no slopes. Change: table 'runs', every relay.* and hollow.* measurement as the mean of its repeats. Measured: tests of the package pass; nothing has run yet, the table says 'missing'.

--- a/src/main/java/saltlatch/lab/capacity/CapacityTables.java
+++ b/src/main/java/saltlatch/lab/capacity/CapacityTables.java
@@ -1,17 +1,21 @@
 package saltlatch.lab.capacity;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import saltlatch.lab.scale.LineFit;
+import saltlatch.lab.scale.Measurement;
 import saltlatch.lab.scale.Quantity;
 
 /** All generated tables of docs/CAPACITY.md, from the data alone: no clock, locale, machine or hash order. */
 public final class CapacityTables {
   private static final List<Integer> SERVICE_SIZES = List.of(3, 15, 60, 200); // app servers: small, mean, large, largest
+  private static final List<String> RUNS = List.of("relay.", "hollow."); // how their measurements' names begin
   private static final String NONE = "";
 
   private final CapacityData data;
@@ -33,6 +37,7 @@
     List<Wall> walls = Walls.of(tables.basis, data.benchDays());
     all.add(walls(walls));
     all.add(mechanisms(walls));
+    all.add(tables.runs());
     all.add(tables.bench());
     all.add(tables.benchSlopes());
     all.add(tables.inputs("assumptions", Input.Kind.ASSUMPTION));
@@ -152,6 +157,35 @@
         .anyMatch(wall -> wall.then() == Consequence.STOPS && wall.part().known() && wall.part().value() < 1);
   }
 
+  /** Runs of relays and hollow nodes together, which are outcomes and no slopes. */
+  private Table runs() {
+    Map<String, List<Measurement>> bySize = new TreeMap<>();
+    for (Measurement one : data.measurements()) {
+      if (RUNS.stream().noneMatch(one.what()::startsWith)) continue;
+      bySize.computeIfAbsent(String.format(Locale.ROOT, "%s %012d", one.what(), one.size()),
+          k -> new ArrayList<>()).add(one);
+    }
+    List<List<String>> rows = new ArrayList<>();
+    for (List<Measurement> repeats : bySize.values()) rows.add(run(repeats));
+    if (rows.isEmpty()) rows.add(List.of("missing", NONE, NONE, NONE, NONE));
+    return new Table("runs", List.of("run", "size", "repeats", "measured, mean of the repeats", "commit"),
+        rows);
+  }
+
+  private static List<String> run(List<Measurement> repeats) {
+    List<String> values = new ArrayList<>();
+    for (Quantity quantity : Quantity.values()) {
+      double[] all = repeats.stream().filter(one -> one.values().containsKey(quantity))
+          .mapToDouble(one -> one.values().get(quantity)).filter(Double::isFinite).sorted().toArray();
+      if (all.length > 0) values.add(quantity.name().toLowerCase(Locale.ROOT) + " "
+          + Numbers.show(Arrays.stream(all).average().orElseThrow()));
+    }
+    Measurement first = repeats.get(0);
+    List<String> commits = repeats.stream().map(Measurement::commit).distinct().sorted().toList();
+    return List.of(first.what(), Numbers.show(first.size()) + " " + first.grows(),
+        Integer.toString(repeats.size()), String.join(", ", values), String.join(", ", commits));
+  }
+
   private Table bench() {
     List<List<String>> rows = new ArrayList<>();
     for (BenchDay day : data.benchDays()) {
