--- a/src/main/java/saltlatch/lab/capacity/Fit.java
+++ b/src/main/java/saltlatch/lab/capacity/Fit.java
@@ -12,7 +12,7 @@
  * @param grows    what grew
  * @param quantity what was measured
  * @param points   the repeats, sizes ascending
- * @param line     the line of least squares through them
+ * @param line     the line of least squares through them; null where a single size was run
  * @param commits  texts measured
  */
 public record Fit(String test, String grows, Quantity quantity, List<Point> points, LineFit line,
@@ -59,6 +59,7 @@
     if (!repeats.isEmpty()) {
       return cost(mean(repeats), meanError(repeats), Standing.MEASURED);
     }
+    if (line == null) return withoutLine();
     return cost(line.at(size), errorAt(size), size <= largest() ? Standing.MEASURED : Standing.EXTRAPOLATED);
   }
 
@@ -70,14 +71,20 @@
 
   /** The line's value at size 0, which may be below 0. */
   public Figure intercept() {
+    if (line == null) return withoutLine();
     return new Figure(line.intercept(), errorAt(0), Standing.MEASURED, List.of(name()));
   }
 
   /** What one more adds. */
   public Figure slope() {
+    if (line == null) return withoutLine();
     return new Figure(line.slope(), slopeError(), Standing.MEASURED, List.of(name()));
   }
 
+  private Figure withoutLine() {
+    return Figure.missing(name() + " (one size alone)");
+  }
+
   /** Test and quantity, as the page names them. */
   public String name() {
     return Fits.name(test, quantity);
