--- a/src/main/java/saltlatch/cli/CapacityReportCommand.java
+++ b/src/main/java/saltlatch/cli/CapacityReportCommand.java
@@ -19,11 +19,13 @@
  */
 @Command(name = "report", mixinStandardHelpOptions = true, description = "Write the capacity page's tables.")
 final class CapacityReportCommand implements Callable<Integer> {
-  @Option(names = "--data", defaultValue = "docs/capacity", description = "directory of measurements") Path data;
+  @Option(names = "--data", defaultValue = "docs/capacity",
+      description = "directory of measurements") Path data;
 
   @Option(names = "--page", defaultValue = "docs/CAPACITY.md", description = "page to write") Path page;
 
-  @Option(names = "--check", description = "write nothing; end with 1 where page and data differ") boolean check;
+  @Option(names = "--check",
+      description = "write nothing; end with 1 where page and data differ") boolean check;
 
   @Override
   public Integer call() {
--- a/src/main/java/saltlatch/cli/HollowCommand.java
+++ b/src/main/java/saltlatch/cli/HollowCommand.java
@@ -16,11 +16,16 @@
 import saltlatch.lab.hollow.HollowFleet;
 import saltlatch.lab.hollow.HollowRun;
 import saltlatch.lab.hollow.NodeConfig;
+import saltlatch.lab.scale.Machine;
+import saltlatch.lab.scale.Needs;
 
 /** {@code lab hollow}: the control part of many edge nodes in this process, following one discovery or relay. */
-@Command(name = "hollow", mixinStandardHelpOptions = true, description = "Run the control part of many "
-    + "edge nodes in this process: discovery, list and membership, no data path.")
+@Command(name = "hollow", mixinStandardHelpOptions = true, subcommands = {HollowCompareCommand.class},
+    description = "Run the control part of many "
+        + "edge nodes in this process: discovery, list and membership, no data path.")
 final class HollowCommand implements Callable<Integer> {
+  private static final int REFUSED = 2; // exit code
+
   @Spec CommandSpec spec;
 
   @Option(names = "--nodes", description = "hollow nodes in this process") int nodes;
@@ -33,17 +38,17 @@
 
   @Option(names = "--loops", defaultValue = "1", description = "event loops (${DEFAULT-VALUE})") int loops;
 
-  @Option(names = "--start-over-seconds", defaultValue = "0", description = "time over which they start; "
-      + "0: all at once") double startOverSeconds;
+  @Option(names = "--start-over-seconds", defaultValue = "0",
+      description = "time over which they start; 0: all at once") double startOverSeconds;
 
-  @Option(names = "--seconds", defaultValue = "0", description = "time that it runs for; 0: until it is "
-      + "ended by SIGTERM") double seconds;
+  @Option(names = "--seconds", defaultValue = "0",
+      description = "time that it runs for; 0: until it is ended by SIGTERM") double seconds;
 
   @Option(names = "--membership", description = "the nodes know each other; wants --of where the fleet has "
       + "several processes") boolean membership;
 
-  @Option(names = "--peer-port", defaultValue = "20000", description = "datagram port of node 0, the others' "
-      + "follow (${DEFAULT-VALUE})") int peerPort;
+  @Option(names = "--peer-port", defaultValue = "20000",
+      description = "datagram port of node 0, the others' follow (${DEFAULT-VALUE})") int peerPort;
 
   @Option(names = "--report", description = "file for JSON lines; else standard output") Path report;
 
@@ -53,6 +58,12 @@
       throw new ParameterException(spec.commandLine(),
           "--nodes N from 1, --discovery HOST:PORT, --loops from 1");
     }
+    try {
+      Machine.here().admit("lab hollow", nodes, new Needs(Runtime.getRuntime().maxMemory(), 0));
+    } catch (Machine.TooMuch e) {
+      System.err.println("saltlatch " + e.getMessage() + " (-Xmx sets it)");
+      return REFUSED;
+    }
     int all = of > 0 ? of : first + nodes;
     List<NodeConfig> configs = IntStream.range(first, first + nodes)
         .mapToObj(number -> new NodeConfig(number, all, discovery, membership, peerPort, 1)).toList();
--- a/src/main/java/saltlatch/cli/ScaleCommand.java
+++ b/src/main/java/saltlatch/cli/ScaleCommand.java
@@ -21,30 +21,33 @@
 import saltlatch.lab.scale.ScaleTests;
 
 /** {@code lab scale TEST}: what the parts cost as one thing grows; and the stand-ins that this is measured against. */
-@Command(name = "scale", mixinStandardHelpOptions = true, subcommands = {SourceCommand.class,
-    CapacityReportCommand.class}, description = "Measure what a part costs as one thing grows: JSON lines of "
+@Command(name = "scale", mixinStandardHelpOptions = true,
+    subcommands = {SourceCommand.class, CapacityReportCommand.class},
+    description = "Measure what a part costs as one thing grows: JSON lines of "
         + "measurements, a straight line through them, the largest size foretold and measured.")
 final class ScaleCommand implements Callable<Integer> {
   private static final int REFUSED = 2; // exit code
 
   @Spec CommandSpec spec;
 
-  @Parameters(index = "0", arity = "0..1", paramLabel = "TEST", description = "list, watchers, plans: "
-      + "what grows") String test;
+  @Parameters(index = "0", arity = "0..1", paramLabel = "TEST", description = "list, watchers, plans, "
+      + "counter, members, requests, sums, hollow: what grows") String test;
 
   @Option(names = "--sizes", split = ",", description = "ascending; else the test's own") List<Long> sizes;
 
-  @Option(names = "--repeats", defaultValue = "3", description = "of each size (${DEFAULT-VALUE})") int repeats;
+  @Option(names = "--repeats", defaultValue = "3",
+      description = "of each size (${DEFAULT-VALUE})") int repeats;
 
-  @Option(names = "--out", description = "file that measurements are added to; else "
-      + "docs/capacity/TEST.jsonl") Path out;
+  @Option(names = "--out",
+      description = "file that measurements are added to; else docs/capacity/TEST.jsonl") Path out;
 
   @Option(names = "--jar", description = "program of the real nodes; else the one that runs this") Path jar;
 
-  @Option(names = "--commit", description = "the text that is measured, for the measurements; else by git") String commit;
+  @Option(names = "--commit",
+      description = "the text that is measured, for the measurements; else by git") String commit;
 
-  @Option(names = "--dir", defaultValue = "target/scale", description = "configurations and logs of the "
-      + "processes (${DEFAULT-VALUE})") Path dir;
+  @Option(names = "--dir", defaultValue = "target/scale",
+      description = "configurations and logs of the processes (${DEFAULT-VALUE})") Path dir;
 
   @Override
   public Integer call() throws Exception {
@@ -67,7 +70,7 @@
   }
 
   /** The jar that runs this. */
-  private static Path ownJar() throws URISyntaxException {
+  static Path ownJar() throws URISyntaxException {
     return Path.of(ScaleCommand.class.getProtectionDomain().getCodeSource().getLocation().toURI());
   }
 }
--- a/src/main/java/saltlatch/lab/capacity/EdgeNode.java
+++ b/src/main/java/saltlatch/lab/capacity/EdgeNode.java
@@ -109,14 +109,14 @@
         Row.of("control without the counter", moment, list.plus(members), "ms/s", LIST + "; " + MEMBERSHIP)
             .within(budget));
     rows.add(Row.of("requests, no control", moment, basis.at(Series.REQUESTS, Quantity.CPU_MS, requests),
-        "ms/s", "`node.Station`"));
+        "ms/s", "`Control`, `wire`"));
   }
 
   private static void latency(Basis basis, List<Row> rows) {
     Figure requests = new Rates(basis).peakRequestsPerNode();
     Figure added = basis.in(Input.ADDED_P99_MS);
     rows.add(Row.of("added for 99 in 100 requests", Moment.PEAK,
-        basis.at(Series.REQUESTS, Quantity.P99_MS, requests), "ms", "`node.Station`").within(added));
+        basis.at(Series.REQUESTS, Quantity.P99_MS, requests), "ms", "`Control`, `wire`").within(added));
     rows.add(Row.of("the load tool's own lateness for 99 in 100", Moment.PEAK,
         basis.at(Series.REQUESTS_LATE, Quantity.P99_MS, requests).or(basis.in(Input.LOAD_TOOL_LATE_MS)), "ms",
         "`lab.load`").within(added.times(basis.in(Input.LATENESS_PART))));
--- a/src/main/java/saltlatch/lab/hollow/HollowFleet.java
+++ b/src/main/java/saltlatch/lab/hollow/HollowFleet.java
@@ -14,7 +14,7 @@
 import saltlatch.api.Gateway;
 import saltlatch.lab.rig.Processes;
 import saltlatch.node.HollowNode;
-import saltlatch.node.Station;
+import saltlatch.node.NodeConfiguration;
 
 /** Hollow nodes of one process: the control part of many edge nodes on a few event loops, with no data path. */
 public final class HollowFleet implements AutoCloseable {
@@ -26,7 +26,11 @@
   /** How far the nodes are: those with a list, the index that all of them have, the highest, entries of all of them. */
   public record Progress(int nodes, int withList, long leastIndex, long newestIndex, long entries) {}
 
+  /** Datagrams that all nodes together have sent and read; none where they do not know each other. */
+  public record Datagrams(long out, long in) {}
+
   private final Vertx vertx;
+  private final boolean membership;
   private final List<HollowNode> nodes = new ArrayList<>();
   private final Queue<Applied> applied = new ConcurrentLinkedQueue<>();
 
@@ -35,6 +39,7 @@
     vertx = Vertx.vertx(
         new VertxOptions().setEventLoopPoolSize(loops).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
             .setPreferNativeTransport(true).setBlockedThreadCheckInterval(TimeUnit.HOURS.toMillis(1)));
+    membership = configs.stream().anyMatch(NodeConfig::membership);
     for (NodeConfig config : configs) {
       Host host = new Host(config);
       vertx.deployVerticle(host).await();
@@ -45,17 +50,17 @@
   /** Owns the context that a node lives on. */
   private final class Host extends VerticleBase {
     private final String name;
-    private final Station station;
+    private final NodeConfiguration configuration;
     private HollowNode node;
 
     Host(NodeConfig config) {
       name = NodeConfig.name(config.number());
-      station = Station.of(config.json());
+      configuration = NodeConfiguration.of(config.json());
     }
 
     @Override
     public Future<?> start() {
-      node = new HollowNode(vertx, context, station);
+      node = new HollowNode(vertx, context, configuration);
       node.onListed(index -> applied.add(new Applied(name, index, System.nanoTime())));
       return Future.succeededFuture();
     }
@@ -101,10 +106,17 @@
     return sum;
   }
 
+  /** Called off the event loops; asks each node where they know each other. */
+  public Datagrams datagrams() {
+    if (!membership) return new Datagrams(0, 0);
+    Map<String, Long> sum = counters();
+    return new Datagrams(sum.getOrDefault("peers_told", 0L), sum.getOrDefault("peers_heard", 0L));
+  }
+
   /** Ends all of them. */
   @Override
-  public void close() throws Exception {
+  public void close() {
     nodes.forEach(HollowNode::stop);
-    vertx.close().toCompletionStage().toCompletableFuture().get(STOP_S, TimeUnit.SECONDS);
+    vertx.close().toCompletionStage().toCompletableFuture().orTimeout(STOP_S, TimeUnit.SECONDS).join();
   }
 }
--- a/src/test/java/saltlatch/node/ShutdownTest.java
+++ b/src/test/java/saltlatch/node/ShutdownTest.java
@@ -4,7 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -76,7 +81,7 @@
     }
     done.get(5, TimeUnit.SECONDS);
     long arrived = seen.stream().filter(text -> text.startsWith("arrived")).count();
-    assertTrue(arrived <= answered, arrived + " read and " + answered + " answered"); // the last ones the door denies itself
+    assertTrue(arrived <= answered, arrived + " read and " + answered + " answered"); // the last ones the listener denies itself
   }
 
   /** Answers that a client has not taken yet when the end comes still reach it, whole, before its connection ends. */
@@ -114,7 +119,7 @@
   /** The end is told before the node is ready: it never gets ready, and is over at once. */
   @Test
   void beforeItIsReady() throws Exception {
-    Serve early = new Serve(Station.of(config()));
+    Serve early = new Serve(NodeConfiguration.of(config()));
     CompletableFuture<Void> done = early.stop().toCompletionStage().toCompletableFuture();
     CompletableFuture<Void> open = early.start((now, site, out) -> (at, events) -> {}).toCompletionStage()
         .toCompletableFuture();
@@ -147,4 +152,19 @@
     assertTrue(answers > 0);
     done.get(5, TimeUnit.SECONDS);
   }
+
+  /** What a client sends on a connection that this node has just ended stays unread: a reset tells that it was not taken. */
+  @Test
+  void askedBehindTheEnd() throws Exception {
+    try (SocketChannel c = SocketChannel.open(new InetSocketAddress("127.0.0.1", node.port()))) {
+      ByteBuffer got = ByteBuffer.allocate(64);
+      c.write(ByteBuffer.wrap(PING.getBytes(StandardCharsets.ISO_8859_1)));
+      assertEquals(7, c.read(got));
+      CompletableFuture<Void> done = ending();
+      assertEquals(-1, c.read(got));
+      c.write(ByteBuffer.wrap(req(0).getBytes(StandardCharsets.ISO_8859_1)));
+      done.get(5, TimeUnit.SECONDS);
+      assertThrows(IOException.class, () -> c.write(ByteBuffer.allocate(1))); // else the system takes it: no reset has come
+    }
+  }
 }
