--- a/src/main/java/saltlatch/lab/capacity/Fit.java
+++ b/src/main/java/saltlatch/lab/capacity/Fit.java
@@ -18,6 +18,8 @@
 public record Fit(String test, String grows, Quantity quantity, List<Point> points, LineFit line,
     List<String> commits) {
 
+  private static final double SAME = 0.005; // part by which a size may differ from one that was run and count as that
+
   /** The largest size that was run. */
   public double largest() {
     return points.get(points.size() - 1).size();
@@ -55,7 +57,8 @@
    * the largest size run and extrapolated beyond.
    */
   public Figure at(double size) {
-    List<Double> repeats = points.stream().filter(p -> p.size() == size).map(Point::value).toList();
+    List<Double> repeats = points.stream().filter(p -> Math.abs(p.size() - size) <= SAME * size)
+        .map(Point::value).toList();
     if (!repeats.isEmpty()) {
       return cost(mean(repeats), meanError(repeats), Standing.MEASURED);
     }
--- a/src/main/java/saltlatch/lab/capacity/Walls.java
+++ b/src/main/java/saltlatch/lab/capacity/Walls.java
@@ -49,11 +49,13 @@
     all.add(new Wall("one discovery's whole core goes to changes at the peak", Consequence.LATE,
         sizeAt(Series.WATCHERS_CHANGE, Quantity.CPU_MS, msPerChange), nodes, "watchers", Mechanism.RELAYS));
     Figure inForce = basis.in(Input.IN_FORCE_SECONDS).times(MS_PER_SECOND);
-    all.add(new Wall("one discovery's core sends the whole list to all in the time to be in force",
+    all.add(new Wall(
+        "one discovery's core sends all the whole list, as after its restart, in the time to be in force",
         Consequence.LATE, sizeAt(Series.WATCHERS_WHOLE, Quantity.CPU_MS, inForce), nodes, "watchers",
         Mechanism.RELAYS));
     Figure sent = basis.in(Input.NETWORK_BYTES_PER_SECOND).times(basis.in(Input.IN_FORCE_SECONDS));
-    all.add(new Wall("one discovery's network sends the whole list to all in the time to be in force",
+    all.add(new Wall(
+        "one discovery's network sends all the whole list, as after its restart, in the time to be in force",
         Consequence.LATE, sent.over(new Rates(basis).listBytes()), nodes, "watchers", Mechanism.RELAYS));
   }
 
--- a/src/test/java/saltlatch/lab/capacity/FitsTest.java
+++ b/src/test/java/saltlatch/lab/capacity/FitsTest.java
@@ -51,6 +51,8 @@
     Figure there = Fits.of(more).at("t", Quantity.CPU_MS, 4);
     assertEquals(9, there.value(), EXACT);
     assertEquals(1, there.error(), EXACT); // sqrt((1 + 1) / 1 / 2)
+    assertEquals(there, Fits.of(more).at("t", Quantity.CPU_MS, 4.01));
+    assertEquals(Standing.EXTRAPOLATED, Fits.of(more).at("t", Quantity.CPU_MS, 4.03).standing());
   }
 
   @Test
