Capacity page: measurements of the text before, and their tables in a class of their own

Need: docs/capacity/before holds the same tests on. Change: they are read and shown beside, on no line; the tables of measurements are MeasurementTables.

--- a/src/main/java/saltlatch/lab/capacity/CapacityData.java
+++ b/src/main/java/saltlatch/lab/capacity/CapacityData.java
@@ -15,11 +15,14 @@
  *
  * @param inputs       target and assumptions
  * @param measurements all lines of the scale tests
+ * @param before       lines of the scale tests of an older text, {@code before/*.jsonl}
  * @param benchDays    days of the operators' bench
  */
-public record CapacityData(Inputs inputs, List<Measurement> measurements, List<BenchDay> benchDays) {
+public record CapacityData(Inputs inputs, List<Measurement> measurements, List<Measurement> before,
+    List<BenchDay> benchDays) {
   private static final String INPUTS = "assumptions.toml";
   private static final String BENCH = "bench-prices.jsonl";
+  private static final String BEFORE = "before";
   private static final String LINES = ".jsonl";
 
   /** A file that can't be used; the message names file and line or key. */
@@ -40,7 +43,12 @@
       if (file.getFileName().toString().equals(BENCH)) benchDays.addAll(lines(file, BenchDay::parse));
       else measurements.addAll(lines(file, Measurement::parse));
     }
-    return new CapacityData(inputs, List.copyOf(measurements), List.copyOf(benchDays));
+    List<Measurement> before = new ArrayList<>();
+    Path older = directory.resolve(BEFORE);
+    if (Files.isDirectory(older)) {
+      for (Path file : lineFiles(older)) before.addAll(lines(file, Measurement::parse));
+    }
+    return new CapacityData(inputs, List.copyOf(measurements), List.copyOf(before), List.copyOf(benchDays));
   }
 
   /** What the formulas use. */
--- a/src/main/java/saltlatch/lab/capacity/CapacityTables.java
+++ b/src/main/java/saltlatch/lab/capacity/CapacityTables.java
@@ -1,21 +1,16 @@
 package saltlatch.lab.capacity;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import saltlatch.lab.scale.LineFit;
-import saltlatch.lab.scale.Measurement;
-import saltlatch.lab.scale.Quantity;
 
 /** All generated tables of docs/CAPACITY.md, from the data alone: no clock, locale, machine or hash order. */
 public final class CapacityTables {
   private static final List<Integer> SERVICE_SIZES = List.of(3, 15, 60, 200); // app servers: small, mean, large, largest
-  private static final List<String> RUNS = List.of("relay.", "hollow."); // how their measurements' names begin
   private static final String NONE = "";
 
   private final CapacityData data;
@@ -31,13 +26,14 @@
     CapacityTables tables = new CapacityTables(data);
     List<Table> all = new ArrayList<>();
     all.add(tables.inputs("target", Input.Kind.TARGET));
-    all.add(tables.slopes());
-    all.add(tables.tests());
+    all.add(MeasurementTables.slopes(tables.basis.fits()));
+    all.add(MeasurementTables.tests(data.measurements()));
     for (Role role : Role.all()) all.add(tables.role(role));
     List<Wall> walls = Walls.of(tables.basis, data.benchDays());
     all.add(walls(walls));
     all.add(mechanisms(walls));
-    all.add(tables.runs());
+    all.add(MeasurementTables.runs(data.measurements()));
+    all.add(MeasurementTables.before(data.before()));
     all.add(tables.bench());
     all.add(tables.benchSlopes());
     all.add(tables.inputs("assumptions", Input.Kind.ASSUMPTION));
@@ -56,41 +52,6 @@
     return new Table(name, List.of("name", "value", "unit", "from"), rows);
   }
 
-  private Table slopes() {
-    List<List<String>> rows = new ArrayList<>();
-    for (Fit fit : basis.fits().all()) {
-      boolean cost = fit.quantity() != Quantity.COUNT; // a count says how a test ended
-      if (cost && fit.line() != null) rows.add(slope(fit));
-    }
-    return new Table("slopes", List.of("measured", "grows", "sizes (repeats in all)", "at size 0",
-        "for each more ± error", "residual", "largest, predicted", "largest, measured", "off by", "commit"),
-        rows);
-  }
-
-  private static List<String> slope(Fit fit) {
-    String sizes = String.join(" / ", fit.sizes().stream().map(Numbers::show).toList());
-    Double predicted = fit.predictedLargest();
-    return List.of(fit.name(), fit.grows(), sizes + " (" + fit.points().size() + ")",
-        Numbers.show(fit.line().intercept()), withError(fit.line().slope(), fit.slopeError()),
-        Numbers.show(fit.line().residual()), predicted == null ? "too few sizes" : Numbers.show(predicted),
-        Numbers.show(fit.measuredLargest()), offBy(predicted, fit.measuredLargest()),
-        String.join(", ", fit.commits()));
-  }
-
-  private static String offBy(Double predicted, double measured) {
-    if (predicted == null || measured == 0) return NONE;
-    return Math.round(100 * (predicted - measured) / measured) + " %";
-  }
-
-  private Table tests() {
-    List<List<String>> rows = new ArrayList<>();
-    for (Series series : Series.values()) {
-      boolean there = data.measurements().stream().anyMatch(one -> one.what().equals(series.id()));
-      rows.add(List.of("`" + series.id() + "`", series.counts(), there ? "yes" : "missing"));
-    }
-    return new Table("tests", List.of("test", "one value counts", "run"), rows);
-  }
-
   private Table role(Role role) {
     List<List<String>> rows = role.rows(basis).stream().map(this::row).toList();
     return new Table(role.table(),
@@ -111,11 +72,7 @@
 
   private static String shown(Figure figure, String unit) {
     if (!figure.known()) return "missing";
-    return withError(figure.value(), figure.error()) + (unit.isEmpty() ? "" : " " + unit);
-  }
-
-  private static String withError(double value, double error) {
-    return error == 0 ? Numbers.show(value) : Numbers.show(value) + " ± " + Numbers.show(error);
+    return Numbers.withError(figure.value(), figure.error()) + (unit.isEmpty() ? "" : " " + unit);
   }
 
   private static String sources(Figure figure) {
@@ -158,35 +115,6 @@
         .anyMatch(wall -> wall.then() == Consequence.STOPS && wall.part().known() && wall.part().value() < 1);
   }
 
-  /** Runs of relays and hollow nodes together, which are outcomes and no slopes. */
-  private Table runs() {
-    Map<String, List<Measurement>> bySize = new TreeMap<>();
-    for (Measurement one : data.measurements()) {
-      if (RUNS.stream().noneMatch(one.what()::startsWith)) continue;
-      bySize.computeIfAbsent(String.format(Locale.ROOT, "%s %012d", one.what(), one.size()),
-          k -> new ArrayList<>()).add(one);
-    }
-    List<List<String>> rows = new ArrayList<>();
-    for (List<Measurement> repeats : bySize.values()) rows.add(run(repeats));
-    if (rows.isEmpty()) rows.add(List.of("missing", NONE, NONE, NONE, NONE));
-    return new Table("runs", List.of("run", "size", "repeats", "measured, mean of the repeats", "commit"),
-        rows);
-  }
-
-  private static List<String> run(List<Measurement> repeats) {
-    List<String> values = new ArrayList<>();
-    for (Quantity quantity : Quantity.values()) {
-      double[] all = repeats.stream().filter(one -> one.values().containsKey(quantity))
-          .mapToDouble(one -> one.values().get(quantity)).filter(Double::isFinite).sorted().toArray();
-      if (all.length > 0) values.add(quantity.name().toLowerCase(Locale.ROOT) + " "
-          + Numbers.show(Arrays.stream(all).average().orElseThrow()));
-    }
-    Measurement first = repeats.get(0);
-    List<String> commits = repeats.stream().map(Measurement::commit).distinct().sorted().toList();
-    return List.of(first.what(), Numbers.show(first.size()) + " " + first.grows(),
-        Integer.toString(repeats.size()), String.join(", ", values), String.join(", ", commits));
-  }
-
   private Table bench() {
     List<List<String>> rows = new ArrayList<>();
     for (BenchDay day : data.benchDays()) {
--- a/src/main/java/saltlatch/lab/capacity/Numbers.java
+++ b/src/main/java/saltlatch/lab/capacity/Numbers.java
@@ -21,6 +21,11 @@
     return grouped(rounded.stripTrailingZeros().toPlainString());
   }
 
+  /** A value and its standard error, where it has one. */
+  static String withError(double value, double error) {
+    return error == 0 ? show(value) : show(value) + " ± " + show(error);
+  }
+
   /** A value given as such, every digit of it. */
   static String inFull(double value) {
     if (value == 0) return "0";
--- a/src/test/java/saltlatch/lab/capacity/CapacityPageTest.java
+++ b/src/test/java/saltlatch/lab/capacity/CapacityPageTest.java
@@ -28,7 +28,8 @@
 
   private void copyData() throws IOException {
     try (Stream<Path> files = Files.list(Sample.DATA)) {
-      for (Path file : files.toList()) Files.copy(file, copy.resolve(file.getFileName()));
+      for (Path file : files.filter(Files::isRegularFile).toList())
+        Files.copy(file, copy.resolve(file.getFileName()));
     }
   }
 
@@ -80,7 +81,8 @@
     try {
       Locale.setDefault(Locale.forLanguageTag("ar-EG-u-nu-arab"));
       TimeZone.setDefault(TimeZone.getTimeZone("Asia/Kathmandu"));
-      assertEquals(here, CapacityTables.of(new CapacityData(data.inputs(), turned, data.benchDays())));
+      assertEquals(here,
+          CapacityTables.of(new CapacityData(data.inputs(), turned, data.before(), data.benchDays())));
     } finally {
       Locale.setDefault(locale);
       TimeZone.setDefault(zone);
--- a/src/test/java/saltlatch/lab/capacity/RolesTest.java
+++ b/src/test/java/saltlatch/lab/capacity/RolesTest.java
@@ -95,7 +95,7 @@
     assertFalse(
         row(new EdgeNode(), nothing, "process with list and plans, resident, at its highest", Moment.ORDINARY)
             .figure().known());
-    CapacityData data = new CapacityData(nothing.inputs(), List.of(), List.of());
+    CapacityData data = new CapacityData(nothing.inputs(), List.of(), List.of(), List.of());
     for (Table table : CapacityTables.of(data)) assertFalse(table.markdown().contains("NaN"), table.name());
     for (Role role : Role.all()) {
       for (Row row : role.rows(nothing)) {
@@ -134,7 +134,7 @@
   @Test
   void whatStopsNodesIsNeededBeforeWhatCosts() throws Exception {
     List<Measurement> lists = List.of(Sample.one("list.start", 1, 100), Sample.one("list.start", 2, 200));
-    CapacityData data = new CapacityData(Sample.inputs(), lists, List.of());
+    CapacityData data = new CapacityData(Sample.inputs(), lists, List.of(), List.of());
     Table mechanisms = CapacityTables.of(data).stream().filter(table -> table.name().equals("mechanisms"))
         .findFirst().orElseThrow();
     assertEquals(Mechanism.BOUNDED_LIST.title(), mechanisms.rows().get(0).get(1));
