--- a/src/main/java/saltlatch/cli/ScaleCommand.java
+++ b/src/main/java/saltlatch/cli/ScaleCommand.java
@@ -31,7 +31,7 @@
   @Spec CommandSpec spec;
 
   @Parameters(index = "0", arity = "0..1", paramLabel = "TEST", description = "list, watchers, plans, "
-      + "counter, members, requests, sums, hollow: what grows") String test;
+      + "counter, members, requests, sums, hollow, fleet: what grows") String test;
 
   @Option(names = "--sizes", split = ",", description = "ascending; else the test's own") List<Long> sizes;
 
--- a/src/main/java/saltlatch/lab/scale/ScaleTests.java
+++ b/src/main/java/saltlatch/lab/scale/ScaleTests.java
@@ -11,7 +11,7 @@
   public static List<ScaleTest> all(Bench bench) {
     return List.of(new ListScale(bench), new WatchersScale(bench), new PlansScale(bench),
         new CounterScale(bench), new MembersScale(), new RequestsScale(bench), new SumsScale(bench),
-        new HollowScale(bench));
+        new HollowScale(bench), new FleetScale(bench));
   }
 
   /** The one of that name. */
--- a/src/main/java/saltlatch/lab/scale/WatchersScale.java
+++ b/src/main/java/saltlatch/lab/scale/WatchersScale.java
@@ -113,12 +113,11 @@
             .and(Quantity.RSS_BYTES, ProcessFigures.rssBytes(source.pid())));
     double atRest = rest.cpuMs() / rest.seconds() * changes.seconds();
     double[] times = times(source.puts(), watchers.reads());
-    measured.put("watchers.change",
-        Values.of(Quantity.CPU_MS, (changes.cpuMs() - atRest) / changes.changes())
-            .and(Quantity.BYTES_OUT, (double) changes.bytes() / changes.changes())
-            .and(Quantity.MESSAGES_OUT, (double) changes.messages() / changes.changes())
-            .and(Quantity.P50_MS, percentile(times, 0.5)).and(Quantity.P99_MS, percentile(times, 0.99))
-            .and(Quantity.MAX_MS, percentile(times, 1)));
+    measured.put("watchers.change", Values.of(Quantity.CPU_MS, (changes.cpuMs() - atRest) / changes.changes())
+        .and(Quantity.BYTES_OUT, (double) changes.bytes() / changes.changes())
+        .and(Quantity.MESSAGES_OUT, (double) changes.messages() / changes.changes())
+        .and(Quantity.P50_MS, Percentiles.of(times, 0.5)).and(Quantity.P99_MS, Percentiles.of(times, 0.99))
+        .and(Quantity.MAX_MS, Percentiles.of(times, 1)));
   }
 
   private static Readings.Used window(SourceProcess source, double changesPerSecond) throws Exception {
@@ -136,11 +135,6 @@
         .mapToDouble(read -> (read.atNanos() - puts.get(read.index())) / MILLION).sorted().toArray();
   }
 
-  private static double percentile(double[] ascending, double part) {
-    if (ascending.length == 0) return Double.NaN;
-    return ascending[(int) Math.min(ascending.length - 1.0, Math.ceil(part * ascending.length) - 1)];
-  }
-
   private static Values whole(SourceProcess source, Watchers watchers, long size) throws Exception {
     ProcessFigures.Cpu before = ProcessFigures.cpu(source.pid());
     SourceProcess.Sent already = source.sent();
--- a/src/test/java/saltlatch/cli/LabCommandTest.java
+++ b/src/test/java/saltlatch/cli/LabCommandTest.java
@@ -28,8 +28,8 @@
   void namesTheScaleTests() {
     assertEquals(2, run("lab", "scale", "nonsense"));
     assertTrue(
-        errors.toString()
-            .contains("TEST is one of list, watchers, plans, counter, members, requests, sums, hollow"),
+        errors.toString().contains(
+            "TEST is one of list, watchers, plans, counter, members, requests, sums, hollow, fleet"),
         errors.toString());
   }
 
