--- a/src/main/java/saltlatch/lab/scale/ListScale.java
+++ b/src/main/java/saltlatch/lab/scale/ListScale.java
@@ -56,15 +56,14 @@
         Processes nodes = bench.nodes(number -> NodeConfig.of(number, 1, source.address()).json())) {
       Values start = start(nodes, source);
       measured.put("list.start", start);
+      Thread.sleep(SETTLE_MS);
+      Readings.Used rest = window(nodes.pid(0), source, 0);
+      measured.put("list.rest",
+          Values.of(Quantity.CPU_MS, rest.cpuMs() / rest.seconds())
+              .and(Quantity.BYTES_IN, rest.bytes() / rest.seconds())
+              .and(Quantity.MESSAGES_IN, rest.messages() / rest.seconds()));
       if (start.map().get(Quantity.COUNT) > 0) {
-        Thread.sleep(SETTLE_MS);
-        Readings.Used rest = window(nodes.pid(0), source, 0);
-        Readings.Used changes = window(nodes.pid(0), source, CHANGES_PER_SECOND);
-        measured.put("list.rest",
-            Values.of(Quantity.CPU_MS, rest.cpuMs() / rest.seconds())
-                .and(Quantity.BYTES_IN, rest.bytes() / rest.seconds())
-                .and(Quantity.MESSAGES_IN, rest.messages() / rest.seconds()));
-        measured.put("list.change", change(rest, changes));
+        measured.put("list.change", change(rest, window(nodes.pid(0), source, CHANGES_PER_SECOND)));
       }
       start.and(Quantity.RSS_BYTES, ProcessFigures.peakRssBytes(nodes.pid(0)));
       start.and(Quantity.HEAP_BYTES, ProcessFigures.heldHeapBytes(nodes.pid(0)));
