--- a/src/test/java/saltlatch/relay/SlowWatcherTest.java
+++ b/src/test/java/saltlatch/relay/SlowWatcherTest.java
@@ -109,13 +109,15 @@
   @Test
   void leaveInTheMiddle() throws Exception {
     Relay relay = relay("'snapshot_bytes_per_second':10000000000", whole(1, entries(LARGE)));
+    TestWatcher reads = watcher(relay, 0);
+    assertEquals(LARGE, reads.list().getAsJsonArray("endpoints").size()); // so that all of it is encoded
     for (int i = 0; i < 20; i++) {
       TestWatcher leaves = stalled(relay);
-      await(relay, "snapshots_sent", i + 1);
+      await(relay, "snapshots_sent", i + 2);
       leaves.socket.setSoLinger(i % 2 == 0, 0);
       leaves.close();
     }
-    await(relay, "watchers", 0);
+    await(relay, "watchers", 1);
     pass(relay, 6_000); // from now on a new list is made for whoever comes
     upstream.answer(); // it was silent by that clock
     upstream.tell(changes(2, entry("s-1", "Gone")));
--- a/src/test/java/saltlatch/relay/WatchParserTest.java
+++ b/src/test/java/saltlatch/relay/WatchParserTest.java
@@ -109,7 +109,8 @@
     long[] fed = {0};
     MalformedWatchException e = assertThrows(MalformedWatchException.class, () -> {
       fresh.feed(head.getBytes(StandardCharsets.UTF_8));
-      for (;; fed[0] += repeated.length()) fresh.feed(repeated.getBytes(StandardCharsets.UTF_8));
+      for (; fed[0] < 9L * bound; fed[0] += repeated.length())
+        fresh.feed(repeated.getBytes(StandardCharsets.UTF_8));
     });
     assertTrue(e.getMessage().contains(cause), e.getMessage());
     assertTrue(fed[0] <= bound, fed[0] + " bytes were taken");
