--- a/src/main/java/saltlatch/cli/ScaleCommand.java
+++ b/src/main/java/saltlatch/cli/ScaleCommand.java
@@ -22,7 +22,7 @@
 
 /** {@code lab scale TEST}: what the parts cost as one thing grows; and the stand-ins that this is measured against. */
 @Command(name = "scale", mixinStandardHelpOptions = true,
-    subcommands = {SourceCommand.class, RelayScaleCommand.class},
+    subcommands = {SourceCommand.class, RelayScaleCommand.class, CapacityReportCommand.class},
     description = "Measure what a part costs as one thing grows: JSON lines of "
         + "measurements, a straight line through them, the largest size foretold and measured.")
 final class ScaleCommand implements Callable<Integer> {
@@ -31,7 +31,7 @@
   @Spec CommandSpec spec;
 
   @Parameters(index = "0", arity = "0..1", paramLabel = "TEST", description = "list, watchers, plans, "
-      + "counter, members, requests, sums, hollow, fleet: what grows") String test;
+      + "counter, members, requests, sums, hollow, fleet, module: what grows") String test;
 
   @Option(names = "--sizes", split = ",", description = "ascending; else the test's own") List<Long> sizes;
 
--- /dev/null
+++ b/src/main/java/saltlatch/lab/capacity/Basis.java
@@ -0,0 +1,41 @@
+package saltlatch.lab.capacity;
+
+import saltlatch.lab.scale.Quantity;
+
+/**
+ * All that a formula may use.
+ *
+ * @param inputs target and assumptions
+ * @param fits   lines through the measurements
+ */
+public record Basis(Inputs inputs, Fits fits) {
+
+  /** An input as a figure. */
+  public Figure in(Input input) {
+    return inputs.figure(input);
+  }
+
+  /** What a series' line gives at the size of an input. */
+  public Figure at(Series series, Quantity quantity, Input size) {
+    return at(series, quantity, in(size));
+  }
+
+  /** What a series' line gives at a computed size; the size's own error goes in by the slope. */
+  public Figure at(Series series, Quantity quantity, Figure size) {
+    if (!size.known()) return fits.at(series.id(), quantity, 0).withStanding(Standing.MISSING);
+    Figure there = fits.at(series.id(), quantity, size.value());
+    Figure bySize = fits.slope(series.id(), quantity)
+        .times(new Figure(0, size.error(), size.standing(), size.sources()));
+    return there.plus(bySize);
+  }
+
+  /** What one more adds in a series. */
+  public Figure slope(Series series, Quantity quantity) {
+    return fits.slope(series.id(), quantity);
+  }
+
+  /** What is there at size 0 of a series. */
+  public Figure intercept(Series series, Quantity quantity) {
+    return fits.intercept(series.id(), quantity);
+  }
+}
--- a/src/test/java/saltlatch/cli/LabCommandTest.java
+++ b/src/test/java/saltlatch/cli/LabCommandTest.java
@@ -29,7 +29,7 @@
     assertEquals(2, run("lab", "scale", "nonsense"));
     assertTrue(
         errors.toString().contains(
-            "TEST is one of list, watchers, plans, counter, members, requests, sums, hollow, fleet"),
+            "TEST is one of list, watchers, plans, counter, members, requests, sums, hollow, fleet, module"),
         errors.toString());
   }
 
