--- a/src/main/java/saltlatch/lab/capacity/ControlMachines.java
+++ b/src/main/java/saltlatch/lab/capacity/ControlMachines.java
@@ -69,7 +69,8 @@
                 .plus(basis.at(Series.WATCHERS_REST, Quantity.BYTES_OUT, Input.EDGE_NODES)),
             "B/s", ALONE)
         .within(basis.in(Input.NETWORK_BYTES_PER_SECOND)));
-    inForce(basis, Moment.PEAK, Series.RELAY_DIRECT, ALONE, rows);
+    inForce(basis, Moment.PEAK, Series.FLEET_CHANGE, ALONE, rows);
+    inForce(basis, Moment.PEAK, Series.RELAY_DIRECT, ALONE + " (the relays' run)", rows);
   }
 
   private static void zoneStarts(Basis basis, List<Row> rows) {
--- a/src/main/java/saltlatch/lab/capacity/EdgeNode.java
+++ b/src/main/java/saltlatch/lab/capacity/EdgeNode.java
@@ -115,6 +115,11 @@
   private static void latency(Basis basis, List<Row> rows) {
     Figure requests = new Rates(basis).peakRequestsPerNode();
     Figure added = basis.in(Input.ADDED_P99_MS);
+    Figure choice = basis.at(Series.MODULE_REQUEST, Quantity.CPU_MS, Input.APP_SERVERS);
+    rows.add(Row.of("the decision module for a request, among all app servers", Moment.PEAK, choice, "ms",
+        "`Control`").within(added));
+    rows.add(Row.of("the decision module for all requests, among all app servers", Moment.PEAK,
+        choice.times(requests), "ms/s", "`Control`").within(Figure.exact(MS_PER_SECOND)));
     rows.add(Row.of("added for 99 in 100 requests", Moment.PEAK,
         basis.at(Series.REQUESTS, Quantity.P99_MS, requests), "ms", "`Control`, `wire`").within(added));
     rows.add(Row.of("the load tool's own lateness for 99 in 100", Moment.PEAK,
@@ -152,16 +157,23 @@
         basis.at(Series.MEMBERS_BEGIN, Quantity.SECONDS, Input.EDGE_NODES), "s", MEMBERSHIP));
     rows.add(Row.of("until all views are equal, stated", Moment.REGION_RETURNS,
         seconds(terms(basis).equalWithin(), Input.DATAGRAMS_PER_SECOND.key()), "s", MEMBERSHIP));
-    rows.add(Row
-        .of("sums told, both ways", Moment.COUNTER_EMPTY,
-            basis.at(Series.SUMS_JAM, Quantity.BYTES_IN, Input.EDGE_NODES)
-                .plus(basis.at(Series.SUMS_JAM, Quantity.BYTES_OUT, Input.EDGE_NODES)),
-            "B/s", "`Gossip`")
-        .within(bytes));
+    sums(basis, rows);
     rows.add(Row.of("whole lists read", Moment.MACHINE_LOST,
         Figure.missing("a hollow node that changes relays"), "lists", "`since` at another relay"));
   }
 
+  /** Nodes tell sums no faster than the others may take them in: more nodes make a round longer. */
+  private static void sums(Basis basis, List<Row> rows) {
+    Figure datagrams = basis.in(Input.DATAGRAMS_PER_SECOND).times(basis.in(Input.SUMS_INTAKE_PART));
+    Figure each = basis.slope(Series.SUMS_JAM, Quantity.BYTES_IN)
+        .over(basis.slope(Series.SUMS_JAM, Quantity.MESSAGES_IN));
+    Figure bothWays = datagrams.times(each).times(2);
+    rows.add(Row.of("sums told and taken in, at the most", Moment.COUNTER_EMPTY, bothWays, "B/s", "`Gossip`")
+        .within(basis.in(Input.NODE_BYTES_PER_SECOND)));
+    rows.add(Row.of("a round of sums, if all nodes share customers", Moment.COUNTER_EMPTY,
+        basis.in(Input.EDGE_NODES).over(datagrams), "s", "`Gossip`"));
+  }
+
   /** Membership's promised times at the target. */
   static Terms terms(Basis basis) {
     return Terms.of((int) basis.inputs().value(Input.EDGE_NODES),
--- a/src/main/java/saltlatch/lab/capacity/MeasurementTables.java
+++ b/src/main/java/saltlatch/lab/capacity/MeasurementTables.java
@@ -12,7 +12,7 @@
 
 /** The page's tables of what was measured: lines, what the tests count, and outcomes that are no lines. */
 final class MeasurementTables {
-  private static final List<String> RUNS = List.of("relay.", "hollow."); // how their measurements' names begin
+  private static final List<String> RUNS = List.of("relay.", "fleet."); // how their measurements' names begin
   private static final String NONE = "";
   private static final int PERCENT = 100;
 
--- a/src/main/java/saltlatch/lab/capacity/Walls.java
+++ b/src/main/java/saltlatch/lab/capacity/Walls.java
@@ -77,6 +77,10 @@
         "app servers that a node sends to", Mechanism.SUBSETS));
     Figure callsPerRequest = basis.slope(Series.COUNTER_CALLS, Quantity.MESSAGES_OUT)
         .or(basis.in(Input.COUNTER_CALLS_PER_REQUEST));
+    all.add(new Wall("the decision module's core goes to choosing among all app servers", Consequence.STOPS,
+        sizeAt(Series.MODULE_REQUEST, Quantity.CPU_MS,
+            Figure.exact(MS_PER_SECOND).over(rates.peakRequestsPerNode())),
+        basis.in(Input.APP_SERVERS), "app servers", Mechanism.SUBSETS));
     all.add(new Wall("one counter process answers all calls", Consequence.WRONG_QUOTAS,
         basis.in(Input.COUNTER_CALLS_PER_PROCESS).over(callsPerRequest), peak, "requests/s",
         Mechanism.DIVIDED_COUNTER));
@@ -125,11 +129,13 @@
         .from("member.Terms");
   }
 
-  /** The size at which a series' line reaches a value; 0 where it is above it from the beginning. */
+  /** The size at which a series' line reaches a value; 0 where the smallest size run is above it. */
   private Figure sizeAt(Series series, Quantity quantity, Figure value) {
-    Figure size = value.minus(basis.intercept(series, quantity)).over(basis.slope(series, quantity));
     Fit fit = basis.fits().find(series.id(), quantity);
-    if (size.known() && size.value() < 0) return new Figure(0, 0, size.standing(), size.sources());
+    if (fit != null && value.known() && fit.at(fit.sizes().get(0)).value() > value.value()) {
+      return new Figure(0, 0, value.standing().and(Standing.MEASURED), value.from(fit.name()).sources());
+    }
+    Figure size = value.minus(basis.intercept(series, quantity)).over(basis.slope(series, quantity));
     boolean beyond = fit != null && size.known() && size.value() > fit.largest();
     return beyond ? size.withStanding(Standing.EXTRAPOLATED) : size;
   }
--- a/src/test/java/saltlatch/lab/capacity/RolesTest.java
+++ b/src/test/java/saltlatch/lab/capacity/RolesTest.java
@@ -166,6 +166,26 @@
     assertEquals(Standing.EXTRAPOLATED, wall.holds().standing());
   }
 
+  @Test
+  void whatIsTooMuchAtTheSmallestSizeHoldsNowhere() throws Exception {
+    Fits late = Fits.of(List.of(Sample.one("requests.late", 24, 3), Sample.one("requests.late", 240, 2)));
+    String term = "the load tool's own lateness hides the added latency";
+    Figure holds = wall(new Basis(Sample.inputs(), late), List.of(), term).holds();
+    assertEquals(0, holds.value());
+    assertEquals(List.of("lateness_part", "requests.late p99_ms"), holds.sources());
+  }
+
+  @Test
+  void sumsAreBoundedByWhatNodesTakeIn() throws Exception {
+    Basis basis = Sample.whole();
+    String bytes = "sums told and taken in, at the most";
+    assertEquals(1, growth(new EdgeNode(), bytes, Moment.COUNTER_EMPTY, Input.EDGE_NODES), CLOSE);
+    assertEquals(2, growth(new EdgeNode(), bytes, Moment.COUNTER_EMPTY, Input.DATAGRAMS_PER_SECOND), CLOSE);
+    String round = "a round of sums, if all nodes share customers";
+    assertEquals(2700 / (0.5 * 60), row(new EdgeNode(), basis, round, Moment.COUNTER_EMPTY).figure().value(),
+        CLOSE);
+  }
+
   @Test
   void plansEndWhereTheSmallestMeasuredEndIs() throws Exception {
     Fits fits = Fits
