Capacity page: figures of relays from the run that is largest in what they depend on

Cause: a relay run holds 2,700 nodes or 34,000 app servers, not both; by its nodes alone it would have counted as measured. Change: what changes cost comes from the most nodes, what whole lists cost from the most app servers, missing below the target's number and extrapolated where the other is smaller; the size run stands with the figure.

--- a/src/main/java/saltlatch/lab/capacity/Basis.java
+++ b/src/main/java/saltlatch/lab/capacity/Basis.java
@@ -1,5 +1,7 @@
 package saltlatch.lab.capacity;
 
+import java.util.Collection;
+import saltlatch.lab.scale.Measurement;
 import saltlatch.lab.scale.Quantity;
 
 /**
@@ -7,8 +9,19 @@
  *
  * @param inputs target and assumptions
  * @param fits   lines through the measurements
+ * @param runs   runs of relays at size
  */
-public record Basis(Inputs inputs, Fits fits) {
+public record Basis(Inputs inputs, Fits fits, RelayRuns runs) {
+
+  /** All of it, from these measurements. */
+  public static Basis of(Inputs inputs, Collection<Measurement> measurements) {
+    return new Basis(inputs, Fits.of(measurements), RelayRuns.of(measurements));
+  }
+
+  /** The same with one input changed. */
+  public Basis with(Input input, double value) {
+    return new Basis(inputs.with(input, value), fits, runs);
+  }
 
   /** An input as a figure. */
   public Figure in(Input input) {
--- a/src/main/java/saltlatch/lab/capacity/CapacityData.java
+++ b/src/main/java/saltlatch/lab/capacity/CapacityData.java
@@ -53,7 +53,7 @@
 
   /** What the formulas use. */
   public Basis basis() {
-    return new Basis(inputs, Fits.of(measurements));
+    return Basis.of(inputs, measurements);
   }
 
   private static Inputs inputs(Path file) throws IOException {
--- a/src/main/java/saltlatch/lab/capacity/ControlMachines.java
+++ b/src/main/java/saltlatch/lab/capacity/ControlMachines.java
@@ -39,22 +39,20 @@
     Rates rates = new Rates(basis);
     Figure changes = moment == Moment.PEAK ? rates.peakChanges() : rates.changes();
     rows.add(Row.of("messages to watchers", moment, watchers(basis, 0).times(changes), "messages/s", RELAY));
-    rows.add(Row
-        .of("bytes to watchers", moment, basis.at(relay, Quantity.BYTES_OUT, Input.EDGE_NODES), "B/s", RELAY)
+    rows.add(Row.of("bytes to watchers", moment, ofMostNodes(basis, relay, Quantity.BYTES_OUT), "B/s", RELAY)
         .within(basis.in(Input.NETWORK_BYTES_PER_SECOND)));
-    rows.add(Row.of("processor time of a relay", moment, basis.at(relay, Quantity.CPU_MS, Input.EDGE_NODES),
-        "ms/s", RELAY));
-    rows.add(Row.of("process, resident", moment, basis.at(relay, Quantity.RSS_BYTES, Input.EDGE_NODES), "B",
+    rows.add(Row.of("processor time of a relay", moment, ofMostNodes(basis, relay, Quantity.CPU_MS), "ms/s",
         RELAY));
+    rows.add(Row.of("process, resident", moment, ofMostNodes(basis, relay, Quantity.RSS_BYTES), "B", RELAY));
   }
 
   /** The slowest node counts: a change is in force everywhere. */
   private static void inForce(Basis basis, Moment moment, Series nodes, String mechanism, List<Row> rows) {
     Figure most = basis.in(Input.IN_FORCE_SECONDS).times(MS_PER_SECOND);
-    rows.add(Row.of("a change until in force, 99 in 100", moment,
-        basis.at(nodes, Quantity.P99_MS, Input.EDGE_NODES), "ms", mechanism).within(most));
-    rows.add(Row.of("a change until in force, everywhere", moment,
-        basis.at(nodes, Quantity.MAX_MS, Input.EDGE_NODES), "ms", mechanism).within(most));
+    rows.add(Row.of("a change until in force, 99 in 100", moment, times(basis, nodes, Quantity.P99_MS), "ms",
+        mechanism).within(most));
+    rows.add(Row.of("a change until in force, everywhere", moment, times(basis, nodes, Quantity.MAX_MS), "ms",
+        mechanism).within(most));
   }
 
   private static void alone(Basis basis, List<Row> rows) {
@@ -78,7 +76,7 @@
     rows.add(Row.of("whole lists sent by a relay", Moment.ZONE_STARTS,
         starting.times(new Rates(basis).listBytes()), "B", RELAY + ", admitted by a budget of bytes"));
     rows.add(Row.of("processor time of a relay meanwhile", Moment.ZONE_STARTS,
-        basis.at(Series.RELAY_START_LOWER, Quantity.CPU_MS, Input.EDGE_NODES), "ms/s", RELAY));
+        ofMostEntries(basis, Series.RELAY_START_LOWER, Quantity.CPU_MS), "ms/s", RELAY));
     rows.add(started(basis, Series.RELAY_START, RELAY));
     rows.add(started(basis, Series.RELAY_DIRECT_START, ALONE));
     rows.add(Row.of("processor time of one discovery for a whole list to all", Moment.ZONE_STARTS,
@@ -88,7 +86,7 @@
   private static Row started(Basis basis, Series series, String mechanism) {
     return Row
         .of("a start until the last of these nodes has the list", Moment.ZONE_STARTS,
-            basis.at(series, Quantity.MAX_MS, Input.EDGE_NODES), "ms", mechanism)
+            ofMostEntries(basis, series, Quantity.MAX_MS), "ms", mechanism)
         .within(basis.in(Input.START_WITHIN_SECONDS).times(MS_PER_SECOND));
   }
 
@@ -99,7 +97,21 @@
         watchers(basis, 1).minus(watchers(basis, 0)).times(new Rates(basis).listBytes()), "B",
         RELAY + "; `since` spares them"));
     rows.add(Row.of("bytes to watchers of a relay left", Moment.MACHINE_LOST,
-        basis.at(Series.RELAY_KILLED_LOWER, Quantity.BYTES_OUT, Input.EDGE_NODES), "B/s", RELAY));
+        ofMostNodes(basis, Series.RELAY_KILLED_LOWER, Quantity.BYTES_OUT), "B/s", RELAY));
     inForce(basis, Moment.MACHINE_LOST, Series.RELAY_KILLED, RELAY, rows);
   }
+
+  private static Figure ofMostNodes(Basis basis, Series series, Quantity quantity) {
+    return basis.runs().ofMostNodes(series, quantity, basis.inputs());
+  }
+
+  private static Figure ofMostEntries(Basis basis, Series series, Quantity quantity) {
+    return basis.runs().ofMostEntries(series, quantity, basis.inputs());
+  }
+
+  /** The fleet's own test has a line, the relays' runs have none. */
+  private static Figure times(Basis basis, Series series, Quantity quantity) {
+    if (series == Series.FLEET_CHANGE) return basis.at(series, quantity, Input.EDGE_NODES);
+    return ofMostNodes(basis, series, quantity);
+  }
 }
--- a/src/main/java/saltlatch/lab/capacity/Fit.java
+++ b/src/main/java/saltlatch/lab/capacity/Fit.java
@@ -93,12 +93,12 @@
     return Fits.name(test, quantity);
   }
 
-  private static double mean(List<Double> values) {
+  static double mean(List<Double> values) {
     return values.stream().mapToDouble(Double::doubleValue).average().orElseThrow();
   }
 
   /** Standard error of a mean; 0 of a single value, of which nothing is known. */
-  private static double meanError(List<Double> values) {
+  static double meanError(List<Double> values) {
     if (values.size() < 2) return 0;
     double mean = mean(values);
     double squares = values.stream().mapToDouble(value -> (value - mean) * (value - mean)).sum();
--- a/src/test/java/saltlatch/lab/capacity/RolesTest.java
+++ b/src/test/java/saltlatch/lab/capacity/RolesTest.java
@@ -23,9 +23,9 @@
 
   /** How much a figure grows when an input doubles. */
   private static double growth(Basis basis, Role role, String what, Moment moment, Input doubled) {
-    Inputs more = basis.inputs().with(doubled, 2 * basis.inputs().value(doubled));
+    Basis more = basis.with(doubled, 2 * basis.inputs().value(doubled));
     Figure before = row(role, basis, what, moment).figure();
-    return row(role, new Basis(more, basis.fits()), what, moment).figure().value() / before.value();
+    return row(role, more, what, moment).figure().value() / before.value();
   }
 
   private static double growth(Role role, String what, Moment moment, Input doubled) throws Exception {
@@ -168,9 +168,10 @@
 
   @Test
   void whatIsTooMuchAtTheSmallestSizeHoldsNowhere() throws Exception {
-    Fits late = Fits.of(List.of(Sample.one("requests.late", 24, 3), Sample.one("requests.late", 240, 2)));
+    Basis late = Basis.of(Sample.inputs(),
+        List.of(Sample.one("requests.late", 24, 3), Sample.one("requests.late", 240, 2)));
     String term = "the load tool's own lateness hides the added latency";
-    Figure holds = wall(new Basis(Sample.inputs(), late), List.of(), term).holds();
+    Figure holds = wall(late, List.of(), term).holds();
     assertEquals(0, holds.value());
     assertEquals(List.of("lateness_part", "requests.late p99_ms"), holds.sources());
   }
@@ -186,11 +187,40 @@
         CLOSE);
   }
 
+  private static Measurement run(String what, long nodes, int entries, double value) {
+    Measurement values = Sample.one(what, nodes, value);
+    return new Measurement(what, "hollow nodes before " + entries + " app servers", nodes, 1, values.values(),
+        "0000000");
+  }
+
+  @Test
+  void aRelaysFigureComesFromTheRunThatIsLargestInWhatItDependsOn() throws Exception {
+    Basis basis = Basis.of(Sample.inputs(),
+        List.of(run("relay.change", 2700, 3500, 5000), run("relay.change", 330, 34_000, 70),
+            run("relay.start300", 2700, 3500, 9), run("relay.start300", 330, 34_000, 80)));
+    Role control = new ControlMachines();
+    Figure changes = row(control, basis, "a change until in force, everywhere", Moment.PEAK).figure();
+    assertEquals(5000, changes.value());
+    assertEquals(Standing.EXTRAPOLATED, changes.standing());
+    assertEquals(List.of("relay.change max_ms (2,700 nodes, 3,500 app servers)"), changes.sources());
+    assertEquals(80,
+        row(control, basis, "a start until the last of these nodes has the list", Moment.ZONE_STARTS).figure()
+            .value());
+    Basis small = Basis.of(Sample.inputs(),
+        List.of(run("relay.start300", 2700, 3500, 9), run("relay.change", 330, 34_000, 7)));
+    assertFalse(row(control, small, "a change until in force, everywhere", Moment.PEAK).figure().known());
+    assertFalse(row(control, small, "a start until the last of these nodes has the list", Moment.ZONE_STARTS)
+        .figure().known());
+    Basis whole = Basis.of(Sample.inputs(), List.of(run("relay.change", 2700, 34_000, 70)));
+    assertEquals(Standing.MEASURED,
+        row(control, whole, "a change until in force, everywhere", Moment.PEAK).figure().standing());
+  }
+
   @Test
   void plansEndWhereTheSmallestMeasuredEndIs() throws Exception {
-    Fits fits = Fits
-        .of(List.of(Sample.one("plans.ends", 30_000, 30_000), Sample.one("plans.ends", 29_000, 29_000)));
-    Wall wall = wall(new Basis(Sample.inputs(), fits), List.of(), "plans in the settings fill the heap");
+    Basis basis = Basis.of(Sample.inputs(),
+        List.of(Sample.one("plans.ends", 30_000, 30_000), Sample.one("plans.ends", 29_000, 29_000)));
+    Wall wall = wall(basis, List.of(), "plans in the settings fill the heap");
     assertEquals(new Figure(29_000, 0, Standing.MEASURED, List.of("plans.ends count")), wall.holds());
   }
 
--- a/src/test/java/saltlatch/lab/capacity/Sample.java
+++ b/src/test/java/saltlatch/lab/capacity/Sample.java
@@ -25,7 +25,7 @@
 
   /** No test was run. */
   static Basis withoutMeasurements() throws Exception {
-    return new Basis(inputs(), Fits.of(List.of()));
+    return Basis.of(inputs(), List.of());
   }
 
   /** Every test was run. */
@@ -34,7 +34,7 @@
     for (Series test : Series.values()) {
       for (int size : SIZES) all.add(one(test.id(), size, AT_ZERO + SLOPE * size));
     }
-    return new Basis(inputs(), Fits.of(all));
+    return Basis.of(inputs(), all);
   }
 
   /** A measurement with the same value for every quantity. */
