--- a/src/main/java/saltlatch/lab/capacity/Basis.java
+++ b/src/main/java/saltlatch/lab/capacity/Basis.java
@@ -51,4 +51,10 @@
   public Figure intercept(Series series, Quantity quantity) {
     return fits.intercept(series.id(), quantity);
   }
+
+  /** What a series measured at the largest size that was run. */
+  public Figure atLargest(Series series, Quantity quantity) {
+    Fit fit = fits.find(series.id(), quantity);
+    return fit == null ? fits.at(series.id(), quantity, 0) : fit.at(fit.largest());
+  }
 }
--- a/src/main/java/saltlatch/lab/capacity/EdgeNode.java
+++ b/src/main/java/saltlatch/lab/capacity/EdgeNode.java
@@ -165,8 +165,8 @@
   /** Nodes tell sums no faster than the others may take them in: more nodes make a round longer. */
   private static void sums(Basis basis, List<Row> rows) {
     Figure datagrams = basis.in(Input.DATAGRAMS_PER_SECOND).times(basis.in(Input.SUMS_INTAKE_PART));
-    Figure each = basis.slope(Series.SUMS_JAM, Quantity.BYTES_IN)
-        .over(basis.slope(Series.SUMS_JAM, Quantity.MESSAGES_IN));
+    Figure each = basis.atLargest(Series.SUMS_JAM, Quantity.BYTES_IN)
+        .over(basis.atLargest(Series.SUMS_JAM, Quantity.MESSAGES_IN));
     Figure bothWays = datagrams.times(each).times(2);
     rows.add(Row.of("sums told and taken in, at the most", Moment.COUNTER_EMPTY, bothWays, "B/s", "`Gossip`")
         .within(basis.in(Input.NODE_BYTES_PER_SECOND)));
--- a/src/test/java/saltlatch/lab/capacity/RolesTest.java
+++ b/src/test/java/saltlatch/lab/capacity/RolesTest.java
@@ -182,6 +182,8 @@
     String bytes = "sums told and taken in, at the most";
     assertEquals(1, growth(new EdgeNode(), bytes, Moment.COUNTER_EMPTY, Input.EDGE_NODES), CLOSE);
     assertEquals(2, growth(new EdgeNode(), bytes, Moment.COUNTER_EMPTY, Input.DATAGRAMS_PER_SECOND), CLOSE);
+    assertEquals(2 * 0.5 * 60, row(new EdgeNode(), basis, bytes, Moment.COUNTER_EMPTY).figure().value(),
+        CLOSE);
     String round = "a round of sums, if all nodes share customers";
     assertEquals(2700 / (0.5 * 60), row(new EdgeNode(), basis, round, Moment.COUNTER_EMPTY).figure().value(),
         CLOSE);
