--- a/src/main/java/saltlatch/lab/rig/AgentForwarder.java
+++ b/src/main/java/saltlatch/lab/rig/AgentForwarder.java
@@ -109,9 +109,9 @@
     if (since.find()) asked.add(Long.parseLong(since.group(1)));
   }
 
-  /** Ends all. */
+  /** Ends all; fails where that takes over {@link #WAIT_S} seconds. */
   @Override
-  public void close() throws Exception {
-    vertx.close().toCompletionStage().toCompletableFuture().get(WAIT_S, TimeUnit.SECONDS);
+  public void close() {
+    vertx.close().toCompletionStage().toCompletableFuture().orTimeout(WAIT_S, TimeUnit.SECONDS).join();
   }
 }
--- a/src/main/java/saltlatch/lab/tiers/RelayScale.java
+++ b/src/main/java/saltlatch/lab/tiers/RelayScale.java
@@ -225,7 +225,7 @@
 
   /** Ends all processes. */
   @Override
-  public void close() throws Exception {
+  public void close() {
     groups.forEach(HollowGroup::close);
     tiers.close();
   }
--- a/src/main/java/saltlatch/lab/tiers/TierProcesses.java
+++ b/src/main/java/saltlatch/lab/tiers/TierProcesses.java
@@ -147,7 +147,7 @@
   }
 
   @Override
-  public void close() throws Exception {
+  public void close() {
     agent.close();
     lower.forEach(server -> server.process().close());
     upper.forEach(server -> server.process().close());
