--- a/src/main/java/saltlatch/wire/ListReader.java
+++ b/src/main/java/saltlatch/wire/ListReader.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import saltlatch.state.HeapFull;
 
 /**
  * Reads a watch's stream of JSON objects: one a line, or one over several lines that are indented. A line that begins
@@ -27,12 +28,13 @@
       this.tooLarge = tooLarge;
     }
 
-    private Unreadable(RuntimeException cause) {
-      super(cause.toString(), cause, false, false);
-      tooLarge = false;
+    /** An entry that can't be decoded; the JSON library wraps the heap's end, which is no fault of the text. */
+    Unreadable(RuntimeException cause) {
+      super(HeapFull.explain(cause), cause, false, false);
+      tooLarge = HeapFull.isCauseOf(cause);
     }
 
-    /** Beyond a bound on entries, and the same when it is asked for again. */
+    /** Beyond a bound on entries, or beyond the heap: the same when it is asked for again. */
     boolean isTooLarge() {
       return tooLarge;
     }
--- a/src/main/java/saltlatch/wire/TargetList.java
+++ b/src/main/java/saltlatch/wire/TargetList.java
@@ -14,6 +14,14 @@
  * series of indices began, in Unix ms; 0 where discovery doesn't say.
  */
 public record TargetList(long series, long index, boolean whole, List<Target> targets) {
+  /**
+   * One app server as discovery names it.
+   *
+   * @param address null: there is none to connect to
+   * @param group   the group within which idempotency keys are remembered
+   * @param weight  its capacity relative to others
+   * @param sinceMs when it last started, Unix time in ms, 0 for long ago
+   */
   public record Target(String name, SocketAddress address, String zone, String type, int group,
       Condition condition, double weight, long sinceMs) {}
 
--- a/src/test/java/saltlatch/wire/ListReaderTest.java
+++ b/src/test/java/saltlatch/wire/ListReaderTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.gson.JsonParseException;
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
 import java.util.List;
@@ -100,6 +101,16 @@
     assertFalse(unreadable("x".repeat(ListReader.LONGEST_PART + 1)).isTooLarge());
   }
 
+  /** The JSON library wraps the heap's end: such a list is too large for this node, not malformed. */
+  @Test
+  void fullHeapIsNoMalformedList() {
+    RuntimeException wrapped = new JsonParseException("Failed parsing JSON source", new OutOfMemoryError());
+    ListReader.Unreadable full = new ListReader.Unreadable(wrapped);
+    assertTrue(full.isTooLarge());
+    assertTrue(full.getMessage().startsWith("the heap of "), full.getMessage());
+    assertFalse(new ListReader.Unreadable(new JsonParseException("no number")).isTooLarge());
+  }
+
   /** At the bound it is read, one beyond it is refused, and so is one entry that is too long; the size is told. */
   @Test
   void bounds() throws Exception {
