A late connection's app server is told what is left of the wait when its command is written

Change: AppLink makes the command's text when it writes it. CrossingTest.lateConnectionIsToldWhatIsLeft fails without it (told 800 of 650).

--- a/src/main/java/saltlatch/wire/AppLink.java
+++ b/src/main/java/saltlatch/wire/AppLink.java
@@ -4,12 +4,14 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
+import java.util.function.LongFunction;
 import saltlatch.state.Counters.Count;
 import saltlatch.state.Exchange;
 import saltlatch.state.Timers;
 
 /** One connection to an app srv, with at most one dispatch (or probe) out on it. */
 final class AppLink {
+  private static final int TICKS_PER_MS = 10; // of the scheduler
   private static final Answer SPOILT = Answer.none(Ending.SPOILT_ANSWER);
 
   final int srv;
@@ -19,10 +21,11 @@
   private boolean closed;
   private boolean out;
   private boolean written;
-  private Buffer unsent;
+  private LongFunction<Buffer> unsent; // the command by the ms that are left to wait; null: written
   private Exchange x; // null: a probe
   private int dispatch;
   private long sent;
+  private long cap;
   private Timers.Timer limit;
   private Timers.Timer rest; // of an answer that has begun to come
 
@@ -60,9 +63,11 @@
     else end(Answer.none(Ending.WITHDRAWN));
   }
 
-  void send(Buffer command, Exchange x, int dispatch, long cap) {
+  /** {@code command}: its text by the ms that are left of {@code cap} once it is written, which may be later. */
+  void send(LongFunction<Buffer> command, Exchange x, int dispatch, long cap) {
     this.x = x;
     this.dispatch = dispatch;
+    this.cap = cap;
     out = true;
     written = false;
     unsent = command;
@@ -77,11 +82,11 @@
   }
 
   private void write() {
-    Buffer command = unsent;
+    if (unsent == null) return;
+    // Guards against a connection that came up late: an app srv told the whole time would work for nobody at its end.
+    Buffer command = unsent.apply(Math.max(0, sent + cap - owner.scheduler().now()) / TICKS_PER_MS);
     unsent = null;
-    if (command != null) {
-      socket.write(command).onSuccess(v -> written = true);
-    }
+    socket.write(command).onSuccess(v -> written = true);
   }
 
   private void read(Buffer more) {
--- a/src/main/java/saltlatch/wire/AppServers.java
+++ b/src/main/java/saltlatch/wire/AppServers.java
@@ -101,14 +101,14 @@
       host.ended(x, dispatch, srv, Answer.none(Ending.NO_DESCRIPTOR), 0);
       return;
     }
-    link.send(x.req.forward(cap / 10), x, dispatch, cap);
+    link.send(x.req::forward, x, dispatch, cap);
   }
 
   public void probe(int srv, long cap) {
     counters.add(Count.PROBED);
     AppLink link = link(srv);
     if (link == null) host.probed(srv, Answer.none(Ending.NO_DESCRIPTOR), 0);
-    else link.send(Buffer.buffer("*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n"), null, 0, cap);
+    else link.send(left -> Buffer.buffer("*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n"), null, 0, cap);
   }
 
   public void cancel(Exchange x, int dispatch) {
--- a/src/test/java/saltlatch/node/CrossingTest.java
+++ b/src/test/java/saltlatch/node/CrossingTest.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import saltlatch.api.Event;
@@ -63,6 +65,34 @@
     assertEquals("-ERR aborted", line(c));
   }
 
+  /** An app srv is told what is left of the wait when its command is written, not what was left before its connection came up. */
+  @Test
+  void lateConnectionIsToldWhatIsLeft() throws Exception {
+    Hold hold = new Hold();
+    long capMs = 800;
+    long lateMs = 150;
+    script = e -> {
+      if (!(e instanceof Event.Arrived)) return;
+      to.dispatch(rid(e), 0, capMs * 10);
+      hold.hold();
+    };
+    say(client(), req(0));
+    assertTrue(hold.begun.await(20, TimeUnit.SECONDS));
+    Thread.sleep(lateMs); // what is measured, not an order
+    hold.over.countDown();
+    Matcher told = Pattern.compile("\\bd=(\\d+)").matcher(request(accept(appSrv)));
+    assertTrue(told.find());
+    long toldMs = Long.parseLong(told.group(1));
+    assertTrue(toldMs <= capMs - lateMs && toldMs > 0, "told " + toldMs);
+  }
+
+  /** A command's lines up to that of its terms. */
+  private static String request(Socket appServer) throws IOException {
+    StringBuilder lines = new StringBuilder();
+    while (!lines.toString().contains("d=")) lines.append(line(appServer)).append(' ');
+    return lines.toString();
+  }
+
   /** The client leaves while the connection comes up, and the settings know no cancelling: nothing is written. */
   @Test
   void clientLeavesBeforeTheConnectionIsUp() throws Exception {
--- a/src/test/java/saltlatch/node/NodeHarness.java
+++ b/src/test/java/saltlatch/node/NodeHarness.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -32,6 +33,7 @@
  * the counter and discovery, each in its turn, so that nothing races.
  */
 abstract class NodeHarness {
+  private static final Pattern WAIT = Pattern.compile("\\$(\\d+) c=\\S*\\bd=(\\d+)");
   private static final String CLOSE_WAIT = "08"; // Linux' number of the state in /proc/net/tcp
 
   final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
@@ -214,6 +216,22 @@
     return figures;
   }
 
+  /**
+   * A command as an app server got it, with the time it was told put at {@code capMs} where that is what was left of it: less
+   * by what has passed since {@code saidAt} (the clock in ns) at the most, never more. Else it stays as it is.
+   */
+  static String withWaitOf(long capMs, String command, long saidAt) {
+    long passedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - saidAt) + 1;
+    Matcher told = WAIT.matcher(command);
+    if (!told.find()) return command;
+    long toldMs = Long.parseLong(told.group(2));
+    if (toldMs > capMs || toldMs < capMs - passedMs) return command;
+    int longer = Long.toString(capMs).length() - told.group(2).length();
+    String length = "$" + (Integer.parseInt(told.group(1)) + longer);
+    return command.replace("$" + told.group(1) + " c=", length + " c=").replace("d=" + toldMs + ",",
+        "d=" + capMs + ",");
+  }
+
   static String req(int id) {
     String name = Integer.toString(10 + id);
     return "*4\r\n$9\r\nSVC.QUERY\r\n$16\r\n0000000000000007\r\n$" + name.length() + "\r\n" + name
