--- a/review/standin/AppServer.java
+++ b/review/standin/AppServer.java
@@ -33,14 +33,6 @@
     String id() {
       return words[2];
     }
-
-    /** Returns the time, in ms, that the command says is left. */
-    long timeLeftMs() {
-      for (String term : words[3].split(",")) {
-        if (term.startsWith("d=")) return Long.parseLong(term.substring(2));
-      }
-      return -1;
-    }
   }
 
   final String name;
--- a/review/standin/Case3.java
+++ b/review/standin/Case3.java
@@ -29,6 +29,7 @@
   private static final int TIMEOUT_MS = 4_000;
   /** After SIGTERM, SIGKILL comes no sooner than 3 s and this. */
   private static final double KILL_AFTER_MS = 3_700;
+  private static final double AFTER_END_MS = 700;
   private static final int CUSTOMERS = 80;
   private static final long FIRST_CUSTOMER = 0x1b4d65000L;
 
@@ -82,8 +83,10 @@
     if (trouble) node.terminate();
     for (Pipeline connection : connections) connection.await(sigtermAtMs + KILL_AFTER_MS);
     if (trouble) node.killUnlessEnded(sigtermAtMs + KILL_AFTER_MS);
+    AppServer.sleepMs(AFTER_END_MS);
     long unanswered = 0;
     for (Pipeline connection : connections) {
+      record.say("%s: %s reset followed", connection, connection.wasReset() ? "a" : "no");
       connection.close();
       unanswered += connection.unanswered();
       record.say("%s%s: sent %d before SIGTERM, without an answer %d, %s",
--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -26,7 +26,6 @@
   final List<DiscoveryAgent> agents = new ArrayList<>();
   final List<NodeProcess> nodes = new ArrayList<>();
   private final Recorder record;
-  private final AppServer.Work work;
   private final CounterService counter = new CounterService();
   private final Path folder = Files.createTempDirectory("review-case");
   // takes what nodes tell all peers at once: such datagrams may arrive "late or not at all"
@@ -36,25 +35,21 @@
   Deployment(Recorder record, Path root, int appServerCount, AppServer.Work work)
       throws IOException {
     this.record = record;
-    this.work = work;
-    for (int i = 0; i < appServerCount; i++) startAppServer(0);
+    for (int i = 0; i < appServerCount; i++) startAppServer(work);
     for (int i = 0; i < NODES; i++) {
       agents.add(new DiscoveryAgent("n" + i, record, endpoints));
       nodes.add(new NodeProcess("n" + i, NodeProcess.freePort(), root, folder, record));
     }
   }
 
-  /** Starts one more app server, which is ready since this Unix time in ms; 0: long ago. */
-  DiscoveryAgent.Endpoint startAppServer(long sinceMs) throws IOException {
+  private void startAppServer(AppServer.Work work) throws IOException {
     int number = appServers.size();
     boolean sameHall = number % 2 == 0;
     AppServer server = new AppServer("s-" + number, sameHall ? SAME_HALL_MS : OTHER_HALL_MS,
         record, work);
     appServers.add(server);
-    DiscoveryAgent.Endpoint endpoint = new DiscoveryAgent.Endpoint(server.name, server.address(),
-        sameHall ? "hall-a" : "hall-b", number / GROUP_SIZE, "Ready", sinceMs);
-    endpoints.add(endpoint);
-    return endpoint;
+    endpoints.add(new DiscoveryAgent.Endpoint(server.name, server.address(),
+        sameHall ? "hall-a" : "hall-b", number / GROUP_SIZE, "Ready", 0));
   }
 
   /** Starts the nodes; returns whether all of them became ready. */
--- a/review/standin/Pipeline.java
+++ b/review/standin/Pipeline.java
@@ -43,7 +43,8 @@
   }
 
   private void read() {
-    try (BufferedInputStream in = new BufferedInputStream(socket.getInputStream())) {
+    try {
+      BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
       while (true) {
         String answer = Resp.readAnswer(in);
         if (answer == null) {
@@ -100,6 +101,19 @@
     while (record.nowMs() < untilMs && unanswered() > 0 && reader.isAlive()) Thread.sleep(20);
   }
 
+  /**
+   * Returns whether the node has reset the connection after its end, as a close over unread bytes
+   * does: then the first byte written now fails.
+   */
+  boolean wasReset() {
+    try {
+      out.write('\n');
+      return false;
+    } catch (IOException e) {
+      return true;
+    }
+  }
+
   long unanswered() {
     synchronized (answers) {
       return answers.values().stream().filter(String::isEmpty).count();
