--- a/review/standin/Case2.java
+++ b/review/standin/Case2.java
@@ -20,15 +20,15 @@
   private static final int APP_SERVERS = 14;
   private static final double REQUESTS_PER_SECOND = 140;
   private static final double SECONDS_BEFORE = 4;
-  private static final double SECONDS_IN_ALL = 30;
-  private static final int ROUNDS = 3;
-  private static final int STOPPING_CLIENTS = 320;
+  private static final double SECONDS_IN_ALL = 36;
+  private static final int ROUNDS = 4;
+  private static final int STOPPING_CLIENTS = 324;
   /** With those that stop they are 340, under a third of the node's 1,024 descriptors. */
-  private static final int USUAL_CONNECTIONS = 20;
+  private static final int USUAL_CONNECTIONS = 16;
   /** The longest value that the protocol allows, and what is missing of the command. */
   private static final int BODY_BYTES = 64 * 1024;
   private static final int MISSING_BYTES = 2;
-  private static final int PIECES = 40;
+  private static final int PIECES = 20;
   private static final double BETWEEN_PIECES_MS = 30;
   /** A client that stops in the middle of a request is owed an error or a close within this. */
   private static final int OWED_WITHIN_MS = 3_050;
