Bound what all connections together hold of messages

Cause: the memory for incomplete commands was bounded for a connection only.

Change: four budgets bound incomplete commands, requests, app servers' incomplete replies and unsent replies over all connections (state.NodeMemory); 4 KiB a connection stay free, so that short messages always pass. A buffer has the size that the header declares. A command without memory is skipped to its end and gets -BUSY, a reply of an app server ends its attempt, a value becomes "-ERR out of memory". Clients that do not read are closed once others need the memory. A connection is no longer replaced while it has replies that the system has not taken.

--- a/src/main/java/saltlatch/node/EdgeNode.java
+++ b/src/main/java/saltlatch/node/EdgeNode.java
@@ -47,7 +47,7 @@
     history.started(configuration.settings().nodeCount());
     runtime = new NodeRuntime(vertx, loop, configuration, metrics, history);
     listener = new ClientListener(vertx, runtime.scheduler(), runtime.clientRequestHandler(),
-        metrics, configuration.resourceLimits().maxClientConnections());
+        metrics, configuration.resourceLimits().maxClientConnections(), runtime.memory());
   }
 
   private static VertxOptions options() {
--- a/src/main/java/saltlatch/node/NodeRuntime.java
+++ b/src/main/java/saltlatch/node/NodeRuntime.java
@@ -10,6 +10,7 @@
 import saltlatch.api.GatewayPolicy;
 import saltlatch.settings.HostSettings;
 import saltlatch.state.InFlightRequests;
+import saltlatch.state.NodeMemory;
 import saltlatch.state.NodeMetrics;
 import saltlatch.state.NodeMetrics.Metric;
 import saltlatch.state.NameIdTable;
@@ -33,6 +34,7 @@
   private final NodeConfiguration configuration;
   private final NodeMetrics metrics;
   private final NodeHistory history;
+  private final NodeMemory memory;
   private final EventLoopScheduler scheduler;
   private final StallDetector stalls;
   private final EventBatcher events;
@@ -59,7 +61,8 @@
     stalls = new StallDetector(scheduler::now, scheduler::wakeUpTicks, this::stallThresholdTicks,
         metrics, history);
     events = new EventBatcher(scheduler, stalls, metrics, this);
-    requests = new InFlightRequests(configuration.resourceLimits().maxRequestBytes());
+    memory = configuration.resourceLimits().newMemory();
+    requests = new InFlightRequests(memory.requests());
     FinalResponses responses = new FinalResponses(history);
     clientRequests = new ClientRequestHandler(configuration, requests, responses, events, stalls,
         metrics, history, this::infoText);
@@ -89,6 +92,11 @@
     return clientRequests;
   }
 
+  /** Returns the budgets for what connections hold of messages. */
+  NodeMemory memory() {
+    return memory;
+  }
+
   /** Returns the event loop's clock and timers. */
   Scheduler scheduler() {
     return scheduler;
@@ -100,7 +108,7 @@
     HostSettings settings = configuration.hostSettings();
     AppServerClient appServers = new AppServerClient(vertx, scheduler, attempts, metrics,
         settings.connectTimeoutTicks(), settings.connectionIdleTicks(),
-        configuration.resourceLimits().maxServerConnections());
+        configuration.resourceLimits().maxServerConnections(), memory.incompleteReplies());
     EndpointDirectory directory = new EndpointDirectory(appServers,
         new NameIdTable(settings.zoneNames()), new NameIdTable(settings.machineTypeNames()));
     attempts.start(directory);
@@ -181,7 +189,7 @@
 
   /** Returns the text of INFO, with one {@code name=value} line for each metric. */
   String infoText() {
-    String ownMetrics = metrics.infoText() + "held=" + requests.size() + "\n";
+    String ownMetrics = metrics.infoText() + memory.infoText() + "held=" + requests.size() + "\n";
     if (membership == null) return ownMetrics;
     return ownMetrics + membership.infoText(policy.gossipValidityTicks());
   }
--- a/src/main/java/saltlatch/node/ResourceLimits.java
+++ b/src/main/java/saltlatch/node/ResourceLimits.java
@@ -1,5 +1,8 @@
 package saltlatch.node;
 
+import saltlatch.state.MemoryBudget;
+import saltlatch.state.NodeMemory;
+
 /**
  * The memory and file descriptors that this node may use, and how it divides them. Some descriptors
  * are reserved; the others are divided between connections to clients and to app servers.
@@ -15,6 +18,8 @@
   static final int MIN_DESCRIPTORS = RESERVED_DESCRIPTORS + MIN_SHARED_DESCRIPTORS;
   /** Requests may use 1/16 of the memory; the heap is 1/3 of it and also holds other data. */
   private static final int REQUEST_MEMORY_DIVISOR = 16;
+  /** The same share each for incomplete commands, incomplete replies and unsent replies. */
+  private static final int MESSAGE_MEMORY_DIVISOR = 32;
   private static final long BYTES_PER_MB = 1024 * 1024;
 
   /**
@@ -30,8 +35,12 @@
     return descriptors - RESERVED_DESCRIPTORS - maxClientConnections();
   }
 
-  /** Returns how many bytes all requests in flight together may use. */
-  long maxRequestBytes() {
-    return memoryMb * BYTES_PER_MB / REQUEST_MEMORY_DIVISOR;
+  /** Returns the budgets for what all connections together hold of messages. */
+  NodeMemory newMemory() {
+    long memoryBytes = memoryMb * BYTES_PER_MB;
+    long messageBytes = memoryBytes / MESSAGE_MEMORY_DIVISOR;
+    return new NodeMemory(new MemoryBudget(messageBytes),
+        new MemoryBudget(memoryBytes / REQUEST_MEMORY_DIVISOR), new MemoryBudget(messageBytes),
+        new MemoryBudget(messageBytes));
   }
 }
--- a/src/main/java/saltlatch/state/InFlightRequests.java
+++ b/src/main/java/saltlatch/state/InFlightRequests.java
@@ -15,17 +15,16 @@
 
   private final Map<Long, RequestContext> byRequestId = new HashMap<>();
   private final Set<String> clientIds = new HashSet<>();
-  private final long maxBytes;
-  private long bytes;
+  private final MemoryBudget memory;
   private long nextRequestId;
 
   /**
    * Creates an empty table.
    *
-   * @param maxBytes limit of the memory that all requests together use
+   * @param memory limits the memory that all requests together use
    */
-  public InFlightRequests(long maxBytes) {
-    this.maxBytes = maxBytes;
+  public InFlightRequests(MemoryBudget memory) {
+    this.memory = memory;
   }
 
   /**
@@ -33,10 +32,8 @@
    * limit.
    */
   public RequestContext register(ClientRequest request, RequestContext.ResponseSink client) {
-    long requestBytes = (long) request.sizeBytes() + OVERHEAD_BYTES;
-    if (bytes + requestBytes > maxBytes) return null;
+    if (!memory.tryReserve(memoryBytes(request))) return null;
     RequestContext context = new RequestContext(nextRequestId++, request, client);
-    bytes += requestBytes;
     byRequestId.put(context.requestId(), context);
     clientIds.add(request.id());
     return context;
@@ -69,10 +66,14 @@
   /** Removes the request if it has its final response and no attempt in flight. */
   public void releaseIfComplete(RequestContext context) {
     if (!context.isComplete() || byRequestId.remove(context.requestId()) == null) return;
-    bytes -= context.request().sizeBytes() + OVERHEAD_BYTES;
+    memory.release(memoryBytes(context.request()));
     clientIds.remove(context.request().id());
   }
 
+  private static long memoryBytes(ClientRequest request) {
+    return (long) request.sizeBytes() + OVERHEAD_BYTES;
+  }
+
   /** Returns the number of requests in flight. */
   public int size() {
     return byRequestId.size();
--- a/src/main/java/saltlatch/wire/appserver/AppServerClient.java
+++ b/src/main/java/saltlatch/wire/appserver/AppServerClient.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Set;
 import saltlatch.api.Ticks;
+import saltlatch.state.MemoryBudget;
 import saltlatch.state.NodeMetrics;
 import saltlatch.state.NodeMetrics.Metric;
 import saltlatch.state.RequestContext;
@@ -55,6 +56,7 @@
   private final Scheduler scheduler;
   private final Listener listener;
   private final NodeMetrics metrics;
+  private final MemoryBudget incompleteReplies;
   private final List<Server> servers = new ArrayList<>(); // by number; null if it is unused
   // servers with open connections, in the order of connecting; only these are iterated over
   private final Set<Server> connectedServers = new LinkedHashSet<>();
@@ -69,13 +71,16 @@
    * @param connectTimeoutTicks the time within which a connection must be established
    * @param idleTimeoutTicks    the time after which app servers close an idle connection
    * @param maxConnections      the limit of connections to all app servers together
+   * @param incompleteReplies   the memory for replies whose last byte has not arrived
    */
   public AppServerClient(Vertx vertx, Scheduler scheduler, Listener listener, NodeMetrics metrics,
-      long connectTimeoutTicks, long idleTimeoutTicks, int maxConnections) {
+      long connectTimeoutTicks, long idleTimeoutTicks, int maxConnections,
+      MemoryBudget incompleteReplies) {
     this.scheduler = scheduler;
     this.listener = listener;
     this.metrics = metrics;
     this.maxConnections = maxConnections;
+    this.incompleteReplies = incompleteReplies;
     this.connectTimeoutTicks = connectTimeoutTicks;
     // This side closes first. Guards against an attempt that is sent while the app server closes
     // the connection, which would end as a lost connection.
@@ -228,6 +233,10 @@
     return connectTimeoutTicks;
   }
 
+  MemoryBudget incompleteReplies() {
+    return incompleteReplies;
+  }
+
   Scheduler scheduler() {
     return scheduler;
   }
@@ -243,6 +252,8 @@
     server.connections.removeBusy(connection);
     if (reusable) server.connections.addIdle(connection, scheduler.now());
     releaseIfUnconnected(server);
+    if (reply.result() == CallResult.REPLY_OVER_MEMORY_LIMIT)
+      metrics.add(Metric.SERVER_REPLIES_OVER_MEMORY_LIMIT);
     metrics.add(
         reply.result() == CallResult.ANSWERED ? Metric.ATTEMPTS_SUCCEEDED : Metric.ATTEMPTS_FAILED);
     if (call.isHealthCheck()) {
--- a/src/main/java/saltlatch/wire/appserver/AppServerConnection.java
+++ b/src/main/java/saltlatch/wire/appserver/AppServerConnection.java
@@ -44,7 +44,7 @@
 
   private final AppServerClient owner;
   private final int server;
-  private final RespDecoder decoder = new RespDecoder();
+  private final RespDecoder decoder;
   private NetSocket socket; // null until the connection is established
   private boolean closed;
   private Call call; // the call in flight; null if idle, so that the request can be freed
@@ -58,6 +58,7 @@
   AppServerConnection(AppServerClient owner, int server) {
     this.owner = owner;
     this.server = server;
+    decoder = new RespDecoder(owner.incompleteReplies());
   }
 
   /** Returns the number of the server that it is connected to. */
@@ -182,6 +183,7 @@
   void close() {
     if (closed) return;
     closed = true;
+    decoder.close();
     if (socket != null) SocketCloser.closeNow(socket);
     owner.connectionClosed(this);
   }
--- a/src/main/java/saltlatch/wire/appserver/AppServerReply.java
+++ b/src/main/java/saltlatch/wire/appserver/AppServerReply.java
@@ -41,6 +41,8 @@
    * error reply, in particular as {@code BUSY}, which means that the request was not executed.
    */
   static AppServerReply ofAttempt(RespValue reply) {
+    if (reply instanceof RespValue.Discarded)
+      return withoutValue(CallResult.REPLY_OVER_MEMORY_LIMIT);
     if (reply instanceof RespValue.Array array && array.elements() != null
         && !array.elements().isEmpty()
         && array.elements().get(VALUE_ELEMENT) instanceof RespValue.Bulk value
--- a/src/main/java/saltlatch/wire/client/ClientConnection.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnection.java
@@ -3,7 +3,6 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.List;
 import saltlatch.state.ClientRequest;
 import saltlatch.state.NodeMetrics;
@@ -28,17 +27,17 @@
 
   private static final String PING = "PING";
   private static final String INFO = "INFO";
-  private static final String PONG = "+PONG";
-  private static final String NOT_READY = "-ERR not ready";
-  private static final String UNKNOWN_COMMAND = "-ERR unknown command";
-  private static final String MALFORMED_COMMAND = "-ERR malformed command";
-  private static final String INCOMPLETE_COMMAND = "-ERR command incomplete";
+  private static final Buffer PONG = RespEncoder.line("+PONG");
+  private static final Buffer NOT_READY = RespEncoder.line("-ERR not ready");
+  private static final Buffer UNKNOWN_COMMAND = RespEncoder.line("-ERR unknown command");
+  private static final Buffer MALFORMED_COMMAND = RespEncoder.line("-ERR malformed command");
+  private static final Buffer INCOMPLETE_COMMAND = RespEncoder.line("-ERR command incomplete");
   private static final String PROTOCOL_ERROR_PREFIX = "-ERR Protocol error: ";
 
   private final ClientListener listener;
   private final NetSocket socket;
-  private final RespDecoder decoder = new RespDecoder();
-  private final ArrayDeque<PendingReply> pendingReplies = new ArrayDeque<>();
+  private final RespDecoder decoder;
+  private final ReplyQueue replies;
   private boolean framingLost; // no more input is parsed
   private boolean closed; // or lingering; no more input is parsed and no more replies are written
   private boolean processingInput; // the commands of the latest read are being processed
@@ -49,16 +48,31 @@
   ClientConnection(ClientListener listener, NetSocket socket) {
     this.listener = listener;
     this.socket = socket;
+    decoder = new RespDecoder(listener.memory().incompleteCommands());
+    replies = new ReplyQueue(socket, listener.scheduler(), listener.memory().unsentReplies());
     lastUsedTicks = listener.scheduler().now();
     socket.handler(this::read);
     socket.exceptionHandler(e -> metrics().add(Metric.CLIENT_CONNECTIONS_BROKEN));
     socket.closeHandler(v -> connectionEnded());
-    socket.drainHandler(v -> resumeReading());
+    socket.drainHandler(v -> flushReplies());
   }
 
   /** Returns whether no reply is pending. */
   boolean isIdle() {
-    return pendingReplies.isEmpty();
+    return replies.isEmpty();
+  }
+
+  /**
+   * Returns whether the connection may be closed in favour of a new one: closing would lose no
+   * reply, or the client has read none for too long.
+   */
+  boolean isReplaceable(long staleTicks) {
+    return replies.isSent() || replies.isStalledSince(staleTicks);
+  }
+
+  /** Reserves memory for a reply of this size; returns false if all memory is in use. */
+  boolean tryReserveReply(int sizeBytes) {
+    return replies.tryReserve(sizeBytes);
   }
 
   long lastUsedTicks() {
@@ -84,11 +98,20 @@
   void close() {
     closed = true;
     listener.closed(this);
+    releaseMemory();
     SocketCloser.closeNow(socket);
   }
 
+  /** Closes the connection if its client has read nothing of its replies since this time. */
+  void closeIfStalledSince(long ticks) {
+    if (closed || !replies.isStalledSince(ticks)) return;
+    metrics().add(Metric.CLIENT_CONNECTIONS_NOT_READING);
+    close();
+  }
+
   private void linger() {
     closed = true;
+    decoder.close();
     listener.startedLingering(this);
     new LingeringClose(socket, listener.scheduler(), framingLost).begin(listener.isRejecting());
   }
@@ -107,12 +130,14 @@
   }
 
   void closeIfIdle() {
-    if (!closed && isIdle()) linger();
+    if (closed) return;
+    replies.writeReady(listener.isRejecting());
+    if (isIdle()) linger();
   }
 
   /** Aborts the requests that have no final response, so that they get one now. */
   void abortRequests() {
-    List.copyOf(pendingReplies).stream().filter(PendingReply::isAwaitingResponse)
+    replies.snapshot().stream().filter(PendingReply::isAwaitingResponse)
         .forEach(pending -> listener.handler().abort(pending.request()));
   }
 
@@ -129,10 +154,16 @@
   private void connectionEnded() {
     closed = true;
     listener.connectionEnded(this);
-    for (PendingReply pending : pendingReplies) {
+    List<PendingReply> unfinished = replies.snapshot();
+    releaseMemory();
+    for (PendingReply pending : unfinished) {
       if (pending.isAwaitingResponse()) listener.handler().clientDisconnected(pending.request());
     }
-    pendingReplies.clear();
+  }
+
+  private void releaseMemory() {
+    decoder.close();
+    replies.clear();
   }
 
   // ---- commands
@@ -147,7 +178,7 @@
     } catch (FramingException e) {
       metrics().add(Metric.COMMANDS_LOST_FRAMING);
       framingLost = true;
-      replyLine(PROTOCOL_ERROR_PREFIX + e.problem());
+      replyLine(RespEncoder.line(PROTOCOL_ERROR_PREFIX + e.problem()));
     }
     processingInput = false;
     if (framingLost || isFull()) socket.pause();
@@ -164,6 +195,11 @@
   }
 
   private void processCommand(RespValue command) throws FramingException {
+    if (command instanceof RespValue.Discarded) {
+      metrics().add(Metric.COMMANDS_OVER_MEMORY_LIMIT);
+      addPendingReply().reject(0);
+      return;
+    }
     if (!(command instanceof RespValue.Array array)) {
       char type = command instanceof RespValue.Line line ? line.type() : '$';
       throw new FramingException("command of RESP2 type " + type, "a command is an array");
@@ -176,7 +212,7 @@
       replyLine(listener.isReady() ? PONG : NOT_READY);
     } else if (verb.equalsIgnoreCase(INFO)) {
       byte[] text = listener.handler().infoText().getBytes(StandardCharsets.ISO_8859_1);
-      addPendingReply().setReply(RespEncoder.bulk(text));
+      addPendingReply().trySetBulk(text);
     } else {
       metrics().add(Metric.COMMANDS_UNKNOWN);
       replyLine(UNKNOWN_COMMAND);
@@ -205,26 +241,24 @@
 
   private PendingReply addPendingReply() {
     PendingReply pending = new PendingReply(this);
-    pendingReplies.add(pending);
+    replies.add(pending);
     return pending;
   }
 
-  private void replyLine(String line) {
-    addPendingReply().setReply(RespEncoder.line(line));
+  private void replyLine(Buffer line) {
+    addPendingReply().setLine(line);
   }
 
   /** Writes the replies that are set, up to the first command whose reply is still pending. */
   void flushReplies() {
     if (closed) return;
-    while (!pendingReplies.isEmpty() && pendingReplies.peek().hasReply()) {
-      socket.write(pendingReplies.poll().reply());
-    }
+    replies.writeReady(framingLost || listener.isRejecting());
     resumeReading();
     lingerIfFinished();
   }
 
   private boolean isFull() {
-    return pendingReplies.size() >= MAX_PENDING_REPLIES;
+    return replies.size() >= MAX_PENDING_REPLIES;
   }
 
   /** Guards against a client that reads replies too slowly or not at all: reading pauses. */
--- a/src/main/java/saltlatch/wire/client/ClientConnections.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnections.java
@@ -52,15 +52,16 @@
 
   /**
    * Returns the connection to close in favour of a new one: first one that is already lingering;
-   * then the least recently used idle one, if it was last used at {@code staleTicks} or earlier;
-   * then the oldest one that has sent no complete command; then an idle one that was used more
-   * recently, whose client can send its next request on a new connection. Returns null if all
-   * connections have pending replies.
+   * then the least recently used replaceable one, if it was last used at {@code staleTicks} or
+   * earlier; then the oldest one that has sent no complete command; then a replaceable one that was
+   * used more recently, whose client can send its next request on a new connection. Returns null if
+   * all connections have unsent replies.
    */
   ClientConnection selectForClosing(long staleTicks) {
     if (!lingering.isEmpty()) return lingering.iterator().next();
-    ClientConnection idle = used.stream().filter(ClientConnection::isIdle).findFirst().orElse(null);
-    if (idle != null && idle.lastUsedTicks() <= staleTicks) return idle;
-    return silent.isEmpty() ? idle : silent.iterator().next();
+    ClientConnection replaceable = used.stream()
+        .filter(connection -> connection.isReplaceable(staleTicks)).findFirst().orElse(null);
+    if (replaceable != null && replaceable.lastUsedTicks() <= staleTicks) return replaceable;
+    return silent.isEmpty() ? replaceable : silent.iterator().next();
   }
 }
--- a/src/main/java/saltlatch/wire/client/ClientListener.java
+++ b/src/main/java/saltlatch/wire/client/ClientListener.java
@@ -8,6 +8,7 @@
 import io.vertx.core.net.SocketAddress;
 import saltlatch.api.Ticks;
 import saltlatch.state.ClientRequest;
+import saltlatch.state.NodeMemory;
 import saltlatch.state.NodeMetrics;
 import saltlatch.state.NodeMetrics.Metric;
 import saltlatch.state.RequestContext;
@@ -49,6 +50,7 @@
   private final NodeMetrics metrics;
   private final NetServer server;
   private final int maxConnections;
+  private final NodeMemory memory;
   private final Scheduler scheduler;
   private final ClientConnections connections = new ClientConnections();
   // counts a connection until its close handler is called, so it can exceed connections.size()
@@ -56,14 +58,16 @@
   private boolean ready;
   private boolean closing;
   private boolean rejecting;
+  private long refusalsAtLastSweep; // reservations for replies that were refused until then
 
   /** Creates the listener; it accepts connections after {@link #listen} is called. */
   public ClientListener(Vertx vertx, Scheduler scheduler, Handler handler, NodeMetrics metrics,
-      int maxConnections) {
+      int maxConnections, NodeMemory memory) {
     this.scheduler = scheduler;
     this.handler = handler;
     this.metrics = metrics;
     this.maxConnections = maxConnections;
+    this.memory = memory;
     // Guards against many clients that connect at once: if the backlog were short, the operating
     // system would also drop connections of other clients, which would retry after a second.
     server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true)
@@ -152,12 +156,27 @@
    * connections staying open forever: the protocol requires that they are closed within 3 s.
    */
   private void sweep() {
-    for (ClientConnection connection : connections.open()) {
-      connection.closeIfIncompleteSince(scheduler.now() - STALE_AFTER_TICKS);
-    }
+    long staleTicks = scheduler.now() - STALE_AFTER_TICKS;
+    for (ClientConnection connection : connections.open())
+      connection.closeIfIncompleteSince(staleTicks);
+    closeStalledIfRepliesWereRefused(staleTicks);
     scheduler.scheduleAt(scheduler.now() + SWEEP_INTERVAL_TICKS, this::sweep);
   }
 
+  /**
+   * Closes the connections whose clients do not read, if their replies have used up the memory for
+   * unsent replies. Guards against such clients that hold this memory, so that the replies of all
+   * other clients are refused.
+   */
+  private void closeStalledIfRepliesWereRefused(long staleTicks) {
+    long refusals = memory.unsentReplies().refusals();
+    if (refusals > refusalsAtLastSweep) {
+      for (ClientConnection connection : connections.open())
+        connection.closeIfStalledSince(staleTicks);
+    }
+    refusalsAtLastSweep = refusals;
+  }
+
   // ---- called by the connections
 
   boolean isReady() {
@@ -176,6 +195,10 @@
     return metrics;
   }
 
+  NodeMemory memory() {
+    return memory;
+  }
+
   Scheduler scheduler() {
     return scheduler;
   }
--- a/src/main/java/saltlatch/wire/client/PendingReply.java
+++ b/src/main/java/saltlatch/wire/client/PendingReply.java
@@ -6,19 +6,22 @@
 import saltlatch.wire.resp.RespEncoder;
 
 /**
- * The reply to one command. The connection keeps its pending replies in a queue in the order of
- * the commands; a reply leaves the queue when it has been set and all earlier ones are written.
- * In the gateway, only this class contains the protocol's text for a rejected and for an aborted
- * request. Owned by the connection; used on the event loop.
+ * The reply to one command. The connection keeps its pending replies in a {@link ReplyQueue}; a
+ * reply leaves it when it has been set and all earlier ones are written. In the gateway, only this
+ * class contains the protocol's text for a rejected and for an aborted request. Owned by the
+ * connection; used on the event loop.
  */
 final class PendingReply implements RequestContext.ResponseSink {
   private static final String REJECTED = "-BUSY";
-  private static final String FAILED = "-ERR aborted";
+  private static final Buffer REJECTED_WITHOUT_ADVICE = RespEncoder.line(REJECTED);
+  private static final Buffer FAILED = RespEncoder.line("-ERR aborted");
+  private static final Buffer OUT_OF_MEMORY = RespEncoder.line("-ERR out of memory");
 
   private final ClientConnection connection;
   // null if the command is not a request, or if the reply was set when the request arrived
   private RequestContext request;
   private Buffer reply; // null until it is set
+  private int reservedBytes;
 
   PendingReply(ClientConnection connection) {
     this.connection = connection;
@@ -35,20 +38,21 @@
 
   @Override
   public void succeed(byte[] value) {
-    connection.metrics().add(Metric.RESPONSES_SUCCEEDED);
-    setReply(RespEncoder.bulk(value));
+    boolean replied = trySetBulk(value);
+    connection.metrics().add(replied ? Metric.RESPONSES_SUCCEEDED : Metric.RESPONSES_FAILED);
   }
 
   @Override
   public void reject(long retryAfterMs) {
     connection.metrics().add(Metric.RESPONSES_REJECTED);
-    setReply(RespEncoder.line(retryAfterMs > 0 ? REJECTED + " " + retryAfterMs : REJECTED));
+    setLine(retryAfterMs > 0 ? RespEncoder.line(REJECTED + " " + retryAfterMs)
+        : REJECTED_WITHOUT_ADVICE);
   }
 
   @Override
   public void fail() {
     connection.metrics().add(Metric.RESPONSES_FAILED);
-    setReply(RespEncoder.line(FAILED));
+    setLine(FAILED);
   }
 
   @Override
@@ -56,12 +60,29 @@
     return connection.readDelayTicks();
   }
 
-  /** Sets the reply, which is written after the replies to all earlier commands. */
-  void setReply(Buffer newReply) {
-    reply = newReply;
+  /** Sets a reply of one short line, for which no memory is reserved. */
+  void setLine(Buffer line) {
+    reply = line;
     connection.flushReplies();
   }
 
+  /**
+   * Sets a bulk string as the reply, or an error if the memory for unsent replies is used up;
+   * returns whether it was the bulk string.
+   */
+  boolean trySetBulk(byte[] value) {
+    int sizeBytes = RespEncoder.maxBulkBytes(value.length);
+    if (!connection.tryReserveReply(sizeBytes)) {
+      connection.metrics().add(Metric.REPLIES_OVER_MEMORY_LIMIT);
+      setLine(OUT_OF_MEMORY);
+      return false;
+    }
+    reservedBytes = sizeBytes;
+    reply = RespEncoder.bulk(value);
+    connection.flushReplies();
+    return true;
+  }
+
   boolean hasReply() {
     return reply != null;
   }
@@ -78,4 +99,9 @@
   Buffer reply() {
     return reply;
   }
+
+  /** Returns how many bytes were reserved for the reply; 0 for a line. */
+  int reservedBytes() {
+    return reservedBytes;
+  }
 }
--- a/src/main/java/saltlatch/wire/resp/RespDecoder.java
+++ b/src/main/java/saltlatch/wire/resp/RespDecoder.java
@@ -5,36 +5,46 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import saltlatch.state.ConnectionMemory;
+import saltlatch.state.MemoryBudget;
 import saltlatch.wire.FramingException;
 
 /**
  * Splits the byte stream of one connection into RESP2 values. Each connection owns a decoder and
- * calls it on the event loop. A decoder buffers at most one incomplete value, of up to
- * {@link #MAX_MESSAGE_BYTES}, and the bytes that were read together with its last byte. It must not
- * be used again after a {@link FramingException}.
+ * calls it on the event loop. It must not be used again after a {@link FramingException}.
+ *
+ * <p>Between two reads a decoder holds at most one incomplete message, in a buffer of the size that
+ * its header declares. A buffer beyond {@link ConnectionMemory#UNRESERVED_BYTES} is reserved in a
+ * budget that all connections share. If the budget refuses, the message is skipped up to its end
+ * and returned as {@link RespValue.Discarded}, so that the connection stays usable. Guards against
+ * many partners that each begin a long message and stop: their buffers together would fill the
+ * heap.
  */
 public final class RespDecoder {
-  /** The longest bulk string that the protocol allows. */
-  private static final int MAX_VALUE_BYTES = 64 * 1024;
-  /** Far longer than any error text or number of the protocol. */
-  private static final int MAX_LINE_BYTES = 1024;
-  /** Commands have at most five values, replies at most three. */
-  private static final int MAX_ARRAY_VALUES = 16;
   /** No message of the protocol has more than two levels of arrays. */
   private static final int MAX_ARRAY_LEVELS = 2;
-  /** One value of maximum length, and eight lines for the other values. */
-  private static final int MAX_MESSAGE_BYTES = MAX_VALUE_BYTES + 8 * MAX_LINE_BYTES;
-
   private static final int INITIAL_BUFFER_BYTES = 512;
-  private static final int KEPT_BUFFER_BYTES = 4 * MAX_LINE_BYTES;
+  /** A buffer grows in steps of this size, so that a slow line does not copy it at each byte. */
+  private static final int BUFFER_STEP_BYTES = 1024;
   private static final int LINE_END_BYTES = 2;
-  /** The length that marks a null string or a null array. */
-  private static final int NULL_LENGTH = -1;
 
+  private final ConnectionMemory memory;
   private byte[] buffer = new byte[INITIAL_BUFFER_BYTES];
   private int begin; // index of the first buffered byte that no returned value includes
   private int end; // index after the last buffered byte
   private int position; // index of the next byte to parse within the value being read
+  private int requiredBytes; // of the incomplete message; with fewer, parsing it again is useless
+  private MessageSkipper skipper; // null unless the current message is skipped
+
+  /** Creates a decoder without a limit for all connections together. */
+  public RespDecoder() {
+    this(MemoryBudget.unlimited());
+  }
+
+  /** Creates a decoder that reserves memory for an incomplete message in this budget. */
+  public RespDecoder(MemoryBudget incompleteMessages) {
+    memory = new ConnectionMemory(incompleteMessages);
+  }
 
   /** Appends bytes that were received on the connection. */
   public void feed(Buffer received) {
@@ -43,19 +53,19 @@
       begin = 0;
       end = 0;
     }
-    if (end + size > buffer.length) ensureCapacity(size);
+    if (end + size > buffer.length) moveTo(Math.max(buffer.length, end - begin + size));
     received.getBytes(buffer, end);
     end += size;
   }
 
-  private void ensureCapacity(int size) {
-    int held = end - begin;
-    byte[] target = held + size > buffer.length ? new byte[Math.max(2 * buffer.length, held + size)]
-        : buffer;
-    System.arraycopy(buffer, begin, target, 0, held);
+  /** Moves the buffered bytes to the begin of a buffer of this size. */
+  private void moveTo(int sizeBytes) {
+    int heldBytes = end - begin;
+    byte[] target = sizeBytes == buffer.length ? buffer : new byte[sizeBytes];
+    System.arraycopy(buffer, begin, target, 0, heldBytes);
     buffer = target;
     begin = 0;
-    end = held;
+    end = heldBytes;
   }
 
   /**
@@ -64,55 +74,99 @@
    * @throws FramingException if the bytes are not a RESP2 value, or the value exceeds a limit
    */
   public RespValue next() throws FramingException {
+    if (skipper != null) return skip();
+    if (end - begin < requiredBytes) return null;
     position = begin;
     RespValue value = readValue(0);
-    if (value == null) {
-      if (end - begin > MAX_MESSAGE_BYTES) {
-        throw new FramingException("RESP2 value, incomplete after " + (end - begin) + " bytes",
-            "message too long", MAX_MESSAGE_BYTES + " bytes");
-      }
-      return null;
-    }
+    if (value == null) return keepIncomplete() ? null : skip();
     begin = position;
-    // Releases the buffer of a long message, so that many idle connections use little memory.
-    if (isEmpty() && buffer.length > KEPT_BUFFER_BYTES) buffer = new byte[INITIAL_BUFFER_BYTES];
+    messageEnded();
     return value;
   }
 
   /** Returns whether no bytes are buffered beyond the values that were returned. */
   public boolean isEmpty() {
-    return begin == end;
+    return begin == end && skipper == null;
+  }
+
+  /** Releases the memory of an incomplete message; called when the connection ends. */
+  public void close() {
+    memory.clear();
+  }
+
+  private void messageEnded() {
+    requiredBytes = 0;
+    memory.clear();
+    if (begin == end) shrinkTo(INITIAL_BUFFER_BYTES);
+  }
+
+  /** Releases the buffer of a long message, so that many idle connections use little memory. */
+  private void shrinkTo(int sizeBytes) {
+    if (buffer.length > ConnectionMemory.UNRESERVED_BYTES && buffer.length > sizeBytes)
+      moveTo(sizeBytes);
+  }
+
+  /**
+   * Keeps the incomplete message in a buffer for the bytes that it is known to need; returns false
+   * if the budget refuses them, in which case the message has to be skipped.
+   */
+  private boolean keepIncomplete() throws FramingException {
+    if (requiredBytes > RespHeader.MAX_MESSAGE_BYTES) throw RespHeader.messageTooLong(end - begin);
+    int sizeBytes = bufferSizeFor(requiredBytes);
+    if (!memory.tryResize(sizeBytes)) {
+      skipper = new MessageSkipper();
+      return false;
+    }
+    if (sizeBytes > buffer.length) moveTo(sizeBytes);
+    else shrinkTo(sizeBytes);
+    return true;
+  }
+
+  private static int bufferSizeFor(int bytes) {
+    if (bytes <= INITIAL_BUFFER_BYTES) return INITIAL_BUFFER_BYTES;
+    int steps = (bytes + BUFFER_STEP_BYTES - 1) / BUFFER_STEP_BYTES;
+    return steps * BUFFER_STEP_BYTES;
+  }
+
+  private RespValue skip() throws FramingException {
+    begin = skipper.skip(buffer, begin, end);
+    RespValue discarded = null;
+    if (skipper.isComplete()) {
+      discarded = new RespValue.Discarded(skipper.skippedBytes());
+      skipper = null;
+    }
+    messageEnded();
+    return discarded;
   }
 
   /** Returns null if the value is incomplete, as all methods below do. */
   private RespValue readValue(int level) throws FramingException {
     String line = readLine();
     if (line == null) return null;
-    if (line.isEmpty()) throw noValue("an empty line");
-    char type = line.charAt(0);
-    String rest = line.substring(1);
-    return switch (type) {
-      case '+', '-', ':' -> new RespValue.Line(type, rest);
-      case '$' -> readBulk(parseLength(rest, MAX_VALUE_BYTES, "bytes"));
-      case '*' -> readArray(parseLength(rest, MAX_ARRAY_VALUES, "values"), level);
-      default -> throw noValue("byte 0x" + Integer.toHexString(type));
+    RespHeader header = RespHeader.parse(line);
+    return switch (header.type()) {
+      case '$' -> readBulk(header.length());
+      case '*' -> readArray(header.length(), level);
+      default -> new RespValue.Line(header.type(), header.text());
     };
   }
 
   private RespValue readBulk(int length) throws FramingException {
-    if (length == NULL_LENGTH) return new RespValue.Bulk(null);
-    if (end - position < length + LINE_END_BYTES) return null;
-    if (!isLineEnd(position + length)) {
-      throw new FramingException("RESP2 bulk string, expected CR LF after " + length + " bytes",
-          "bulk string without its end");
+    if (length == RespHeader.NULL_LENGTH) return new RespValue.Bulk(null);
+    int bulkEnd = position + length;
+    if (end < bulkEnd + LINE_END_BYTES) {
+      requiredBytes = bulkEnd + LINE_END_BYTES - begin;
+      return null;
     }
-    byte[] bytes = Arrays.copyOfRange(buffer, position, position + length);
-    position += length + LINE_END_BYTES;
+    if (!isLineEnd(bulkEnd))
+      throw RespHeader.bulkWithoutEnd("expected CR LF after " + length + " bytes");
+    byte[] bytes = Arrays.copyOfRange(buffer, position, bulkEnd);
+    position = bulkEnd + LINE_END_BYTES;
     return new RespValue.Bulk(bytes);
   }
 
   private RespValue readArray(int count, int level) throws FramingException {
-    if (count == NULL_LENGTH) return new RespValue.Array(null);
+    if (count == RespHeader.NULL_LENGTH) return new RespValue.Array(null);
     if (level >= MAX_ARRAY_LEVELS) {
       throw new FramingException("RESP2 array at level " + (level + 1), "arrays too deep",
           MAX_ARRAY_LEVELS + " levels");
@@ -127,36 +181,19 @@
   }
 
   private String readLine() throws FramingException {
-    for (int i = position; i + 1 < end && i - position <= MAX_LINE_BYTES; i++) {
+    for (int i = position; i + 1 < end && i - position <= RespHeader.MAX_LINE_BYTES; i++) {
       if (isLineEnd(i)) {
         String text = new String(buffer, position, i - position, StandardCharsets.ISO_8859_1);
         position = i + LINE_END_BYTES;
         return text;
       }
     }
-    if (end - position > MAX_LINE_BYTES) {
-      throw new FramingException("RESP2 line", "line too long", MAX_LINE_BYTES + " bytes");
-    }
+    if (end - position > RespHeader.MAX_LINE_BYTES) throw RespHeader.lineTooLong();
+    requiredBytes = end - begin + 1;
     return null;
   }
 
   private boolean isLineEnd(int index) {
     return buffer[index] == '\r' && buffer[index + 1] == '\n';
   }
-
-  private static int parseLength(String text, int limit, String unit) throws FramingException {
-    try {
-      int length = Integer.parseInt(text);
-      if (length >= NULL_LENGTH && length <= limit && !text.startsWith("+")) return length;
-    } catch (NumberFormatException e) {
-      // Falls through: handled like a number that is out of range.
-    }
-    throw new FramingException("RESP2 length, expected " + NULL_LENGTH + " to " + limit,
-        "no length: " + text, limit + " " + unit);
-  }
-
-  private static FramingException noValue(String found) {
-    return new FramingException("RESP2 type, expected one of + - : $ *, found " + found,
-        "no RESP2 value");
-  }
 }
--- a/src/main/java/saltlatch/wire/resp/RespEncoder.java
+++ b/src/main/java/saltlatch/wire/resp/RespEncoder.java
@@ -11,9 +11,14 @@
 
   private RespEncoder() {}
 
+  /** Returns at least the size that a bulk string with this many bytes has when it is encoded. */
+  public static int maxBulkBytes(int length) {
+    return length + BULK_FRAMING_BYTES;
+  }
+
   /** Returns one bulk string. */
   public static Buffer bulk(byte[] bytes) {
-    Buffer out = Buffer.buffer(bytes.length + BULK_FRAMING_BYTES);
+    Buffer out = Buffer.buffer(maxBulkBytes(bytes.length));
     appendBulk(out, bytes);
     return out;
   }
--- a/src/main/java/saltlatch/wire/resp/RespValue.java
+++ b/src/main/java/saltlatch/wire/resp/RespValue.java
@@ -39,4 +39,12 @@
    * @param elements the values; null for the null array
    */
   record Array(List<RespValue> elements) implements RespValue {}
+
+  /**
+   * Stands for a message that was received completely but not kept, because the memory for
+   * incomplete messages was used up.
+   *
+   * @param sizeBytes the message's length
+   */
+  record Discarded(int sizeBytes) implements RespValue {}
 }
--- a/src/main/java/saltlatch/wire/transport/CallResult.java
+++ b/src/main/java/saltlatch/wire/transport/CallResult.java
@@ -14,6 +14,8 @@
   ERROR_REPLY("ERROR_ANSWER", AttemptOutcome.SERVER_ERROR),
   /** An unreadable reply; the request may have been executed and the connection is unusable. */
   MALFORMED_REPLY("SPOILT_ANSWER", AttemptOutcome.CONNECTION_LOST),
+  /** A complete reply that this node had no memory for; the request may have been executed. */
+  REPLY_OVER_MEMORY_LIMIT("ANSWER_OVER_LIMIT", AttemptOutcome.SERVER_ERROR),
   /** The partner sheds load and reports that it has executed nothing. */
   BUSY_REPLY("BUSY_ANSWER", AttemptOutcome.SERVER_BUSY),
   /** The counter does not support the call; nothing was added. */
--- /dev/null
+++ b/src/test/java/saltlatch/node/MemoryPressureIT.java
@@ -0,0 +1,80 @@
+package saltlatch.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import saltlatch.wire.resp.RespText;
+
+/** Clients that together send more than the heap of the packaged jar's process holds. */
+class MemoryPressureIT extends ProcessHarness {
+  private static final int ROUNDS = 2;
+  private static final int STOPPING_CLIENTS = 500;
+  private static final int PIECES = 20;
+  private static final int MISSING_BYTES = 2;
+  private static final long MAX_PING_MS = 1_000;
+  /** A client that stops in the middle of a request is owed an error or a close within this. */
+  private static final long OWED_WITHIN_MS = 3_000;
+  private static final String LONG_SUBMIT = RespText.command("SVC.SUBMIT", "0000000000000007", "11",
+      "c=read,t=plan,d=8000", "b".repeat(64 << 10));
+
+  @Override
+  int descriptorLimit() {
+    return 1_024;
+  }
+
+  private static void assertPingIsAnswered(Socket client) throws IOException {
+    long sentNanos = System.nanoTime();
+    NodeHarness.send(client, PING);
+    assertEquals("+PONG", NodeHarness.readLine(client));
+    long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
+    assertTrue(elapsedMs <= MAX_PING_MS, "PING answered after " + elapsedMs + " ms");
+  }
+
+  /**
+   * Guards against review case 2: hundreds of clients stop in the middle of a long command and
+   * stay. Their buffers filled the heap, and the node answered nobody for seconds. Now it answers a
+   * usual client at any time, and the others get their error in time.
+   */
+  @Test
+  void clientsThatStopInLongCommandsDoNotHaltTheNode() throws Exception {
+    awaitReady();
+    Socket usual = connectClient();
+    for (int round = 0; round < ROUNDS; round++) {
+      List<Socket> stopping = new ArrayList<>();
+      for (int i = 0; i < STOPPING_CLIENTS; i++) stopping.add(connectClient());
+      sendPartsOfCommands(stopping, usual);
+      awaitErrors(stopping, usual);
+      for (Socket client : stopping) client.close();
+    }
+    List<String> metrics = NodeHarness.infoLines(usual);
+    assertTrue(metrics.contains("exceptions=0"), metrics.toString());
+  }
+
+  private static void sendPartsOfCommands(List<Socket> stopping, Socket usual) throws IOException {
+    byte[] bytes = LONG_SUBMIT.getBytes(StandardCharsets.ISO_8859_1);
+    int sentBytes = bytes.length - MISSING_BYTES;
+    int pieceBytes = sentBytes / PIECES + 1;
+    for (int begin = 0; begin < sentBytes; begin += pieceBytes) {
+      int size = Math.min(pieceBytes, sentBytes - begin);
+      for (Socket client : stopping) client.getOutputStream().write(bytes, begin, size);
+      assertPingIsAnswered(usual);
+    }
+  }
+
+  private static void awaitErrors(List<Socket> stopping, Socket usual) throws IOException {
+    long stoppedNanos = System.nanoTime();
+    for (Socket client : stopping) {
+      assertPingIsAnswered(usual);
+      assertEquals("-ERR command incomplete", NodeHarness.readLine(client));
+    }
+    long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - stoppedNanos);
+    assertTrue(elapsedMs <= OWED_WITHIN_MS, "errors after " + elapsedMs + " ms");
+  }
+}
--- a/src/test/java/saltlatch/wire/appserver/AppServerClientTest.java
+++ b/src/test/java/saltlatch/wire/appserver/AppServerClientTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import saltlatch.state.InFlightRequests;
+import saltlatch.state.MemoryBudget;
 import saltlatch.state.NodeMetrics;
 import saltlatch.state.RequestContext;
 import saltlatch.wire.client.ClientCommandDecoder;
@@ -37,11 +38,12 @@
   private static final long CONNECT_TIMEOUT_TICKS = 50_000;
   private static final long IDLE_TIMEOUT_TICKS = 100_000;
   private static final int MAX_CONNECTIONS = 4;
+  private static final int INCOMPLETE_REPLY_BYTES = 40 << 10;
   private static final String COMMAND = "*4\r\n$9\r\nSVC.QUERY\r\n$16\r\n0000000000000007\r\n"
       + "$2\r\n10\r\n$17\r\nc=a,t=b,d=9000,e=\r\n";
   private static final String REPLY = "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n";
 
-  private final InFlightRequests requests = new InFlightRequests(1 << 20);
+  private final InFlightRequests requests = new InFlightRequests(new MemoryBudget(1 << 20));
   private final List<String> ends = new ArrayList<>();
   private boolean mayStart = true;
   private Vertx vertx;
@@ -58,7 +60,8 @@
     appServer.setSoTimeout(20_000);
     scheduler.runOnLoop(() -> {
       client = new AppServerClient(vertx, scheduler, new EndRecorder(), new NodeMetrics(),
-          CONNECT_TIMEOUT_TICKS, IDLE_TIMEOUT_TICKS, MAX_CONNECTIONS);
+          CONNECT_TIMEOUT_TICKS, IDLE_TIMEOUT_TICKS, MAX_CONNECTIONS,
+          new MemoryBudget(INCOMPLETE_REPLY_BYTES));
       client.setAddress(SERVER,
           SocketAddress.inetSocketAddress(appServer.getLocalPort(), "127.0.0.1"));
     });
@@ -342,4 +345,21 @@
     assertEquals(List.of(false, true), removed);
     assertEquals("", receive(1));
   }
+
+  /**
+   * Guards against app servers whose long replies arrive slowly and together fill the heap. A reply
+   * for which there is no memory ends its attempt as one that may have run; the connection is kept.
+   */
+  @Test
+  void replyWithoutMemoryEndsTheAttempt() throws Exception {
+    startAttempt(TIMEOUT_TICKS);
+    String begin = "*3\r\n$65536\r\n" + "x".repeat(40_000);
+    connection.getOutputStream().write(begin.getBytes(StandardCharsets.ISO_8859_1));
+    replyAndAwaitEnds("x".repeat(25_536) + "\r\n$-1\r\n$-1\r\n", 1);
+    assertEquals(List.of("attempt 0 REPLY_OVER_MEMORY_LIMIT"), ends);
+    scheduler.advance(100);
+    startAttempt(TIMEOUT_TICKS);
+    replyAndAwaitEnds(REPLY, 2);
+    assertEquals("attempt 0 ANSWERED", ends.get(1));
+  }
 }
--- a/src/test/java/saltlatch/wire/client/ClientListenerTest.java
+++ b/src/test/java/saltlatch/wire/client/ClientListenerTest.java
@@ -4,134 +4,21 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.vertx.core.Future;
-import io.vertx.core.Vertx;
 import io.vertx.core.net.SocketAddress;
-import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.BiFunction;
-import java.util.function.Consumer;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-import saltlatch.state.ClientRequest;
-import saltlatch.state.InFlightRequests;
-import saltlatch.state.NodeMetrics;
 import saltlatch.state.RequestContext;
-import saltlatch.state.RequestContext.ResponseSink;
 import saltlatch.wire.transport.ManualScheduler;
 
 /**
  * Tests the bytes of every reply that a client can receive, and which connections the listener
  * closes. Uses real connections and a manual clock, which counts ticks of 0.1 ms.
  */
-@Timeout(60)
-class ClientListenerTest {
-  private static final String PING = "*1\r\n$4\r\nPING\r\n";
-  private static final String QUERY = "*4\r\n$9\r\nSVC.QUERY\r\n$16\r\n0000000000000007\r\n"
-      + "$2\r\n10\r\n$19\r\nc=read,t=plan,d=900\r\n";
-  private static final int MAX_CONNECTIONS = 4;
-  private static final String INFO_TEXT = "reqs=1\nheld=0\n";
-
-  private final InFlightRequests requests = new InFlightRequests(1 << 20);
-  private final List<Socket> sockets = new ArrayList<>();
-  private BiFunction<ClientRequest, ResponseSink, RequestContext> onRequest = requests::register;
-  private Vertx vertx;
-  private ManualScheduler scheduler;
-  private ClientListener listener;
-  private NodeMetrics metrics;
-
-  @BeforeEach
-  void start() throws Exception {
-    vertx = Vertx.vertx();
-    scheduler = new ManualScheduler(vertx.getOrCreateContext());
-    metrics = new NodeMetrics();
-    listener = new ClientListener(vertx, scheduler, new ScriptedHandler(), metrics,
-        MAX_CONNECTIONS);
-    scheduler.runOnLoop(() -> listener.markReady());
-    List<Future<?>> listening = new ArrayList<>();
-    scheduler.runOnLoop(
-        () -> listening.add(listener.listen(SocketAddress.inetSocketAddress(0, "127.0.0.1"))));
-    ManualScheduler.await(listening.get(0));
-  }
-
-  @AfterEach
-  void stop() throws Exception {
-    for (Socket socket : sockets) socket.close();
-    ManualScheduler.await(vertx.close());
-  }
-
-  /** Passes each request to {@link #onRequest}, and fails requests that the listener aborts. */
-  private final class ScriptedHandler implements ClientListener.Handler {
-    @Override
-    public RequestContext requestArrived(ClientRequest request, ResponseSink client) {
-      return onRequest.apply(request, client);
-    }
-
-    @Override
-    public void clientDisconnected(RequestContext request) {}
-
-    @Override
-    public void abort(RequestContext request) {
-      request.fail();
-    }
-
-    @Override
-    public String infoText() {
-      return INFO_TEXT;
-    }
-  }
-
-  private Socket connect() throws IOException {
-    Socket socket = new Socket(InetAddress.getLoopbackAddress(), listener.port());
-    socket.setSoTimeout(20_000);
-    sockets.add(socket);
-    return socket;
-  }
-
-  private static void send(Socket socket, String text) throws IOException {
-    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-  }
-
-  private static String receive(Socket socket, int length) throws IOException {
-    byte[] bytes = socket.getInputStream().readNBytes(length);
-    return new String(bytes, StandardCharsets.ISO_8859_1);
-  }
-
-  /**
-   * Asserts the complete reply to one command. A PING is sent after the command; if its reply
-   * directly follows the expected bytes, the listener wrote no other bytes for the command.
-   */
-  private void assertReply(String expected, String command) throws IOException {
-    Socket socket = connect();
-    send(socket, command + PING);
-    assertEquals(expected + "+PONG\r\n", receive(socket, expected.length() + 7));
-    socket.close();
-  }
-
-  /**
-   * Asserts everything that the listener writes in response to {@code bytes} until it closes the
-   * connection.
-   */
-  private void assertLastReply(String expected, String bytes) throws IOException {
-    Socket socket = connect();
-    send(socket, bytes);
-    assertEquals(expected,
-        new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1));
-    socket.close();
-  }
-
-  private void respondWith(Consumer<ResponseSink> response) {
-    onRequest = (request, client) -> {
-      response.accept(client);
-      return null;
-    };
-  }
-
+class ClientListenerTest extends ClientListenerHarness {
   @Test
   void repliesToRequests() throws Exception {
     respondWith(client -> client.succeed("hi".getBytes(StandardCharsets.ISO_8859_1)));
@@ -257,23 +144,6 @@
     assertReply("-BUSY\r\n", QUERY);
   }
 
-  private void awaitInFlight(int count) throws Exception {
-    boolean[] reached = new boolean[1];
-    while (!reached[0]) scheduler.runOnLoop(() -> reached[0] = requests.size() == count);
-  }
-
-  /** Connects, and waits for the reply to a PING, which shows that the listener has accepted. */
-  private Socket connectAndPing() throws IOException {
-    Socket socket = connect();
-    ping(socket);
-    return socket;
-  }
-
-  private static void ping(Socket socket) throws IOException {
-    send(socket, PING);
-    assertEquals("+PONG\r\n", receive(socket, 7));
-  }
-
   /**
    * Guards against clients that send one request each and keep their connections open: once the
    * limit is reached, other clients could not connect. The listener closes the least recently used
@@ -338,7 +208,7 @@
   @Test
   void pingBeforeReadyGetsAnError() throws Exception {
     ClientListener unreadyListener = new ClientListener(vertx, scheduler, new ScriptedHandler(),
-        metrics, MAX_CONNECTIONS);
+        metrics, MAX_CONNECTIONS, memory);
     List<Future<?>> listening = new ArrayList<>();
     scheduler.runOnLoop(() -> listening
         .add(unreadyListener.listen(SocketAddress.inetSocketAddress(0, "127.0.0.1"))));
--- a/src/test/java/saltlatch/wire/transport/CallResultTest.java
+++ b/src/test/java/saltlatch/wire/transport/CallResultTest.java
@@ -18,6 +18,7 @@
         ANSWERED may have run
         ERROR_REPLY may have run
         MALFORMED_REPLY may have run
+        REPLY_OVER_MEMORY_LIMIT may have run
         BUSY_REPLY never ran
         CALL_REFUSED never ran
         CONNECT_FAILED never ran
@@ -36,8 +37,10 @@
   void historyNamesAreStable() {
     StringBuilder names = new StringBuilder();
     for (CallResult result : CallResult.values()) names.append(result.historyName()).append(' ');
-    assertEquals("ANSWERED ERROR_ANSWER SPOILT_ANSWER BUSY_ANSWER REFUSED_CALL CONNECT_FAILED "
-        + "BROKE_UNWRITTEN BROKE_WRITTEN TIMED_OUT_UNWRITTEN TIMED_OUT OWN_CANCEL WITHDRAWN "
-        + "NO_DESCRIPTOR ", names.toString());
+    assertEquals(
+        "ANSWERED ERROR_ANSWER SPOILT_ANSWER ANSWER_OVER_LIMIT BUSY_ANSWER REFUSED_CALL CONNECT_FAILED "
+            + "BROKE_UNWRITTEN BROKE_WRITTEN TIMED_OUT_UNWRITTEN TIMED_OUT OWN_CANCEL WITHDRAWN "
+            + "NO_DESCRIPTOR ",
+        names.toString());
   }
 }
