--- a/src/main/java/saltlatch/wire/client/ClientConnection.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnection.java
@@ -2,14 +2,11 @@
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import saltlatch.api.Ticks;
-import saltlatch.state.ClientRequest;
 import saltlatch.state.NodeMetrics;
 import saltlatch.state.NodeMetrics.Metric;
 import saltlatch.wire.FramingException;
-import saltlatch.wire.MalformedMessageException;
 import saltlatch.wire.resp.RespDecoder;
 import saltlatch.wire.resp.RespEncoder;
 import saltlatch.wire.resp.RespValue;
@@ -27,9 +24,9 @@
  * once all these replies are written, and never before it has read what arrived while reading was
  * stopped. This holds for each close: after a reply at shutdown, when the connection is unused,
  * incomplete or replaced by a new one, and when this node ends; a reload closes none. There are
- * three exceptions. After lost framing the following bytes are no commands. A client that has closed its side, or that
- * does not read its replies, cannot receive any. Bytes that arrive during the close stay unread,
- * and the resulting reset shows the client that they were not processed.
+ * three exceptions. After lost framing the following bytes are no commands. A client that has
+ * closed its side, or that does not read its replies, cannot receive any. Bytes that arrive during
+ * the close stay unread, and the resulting reset shows the client that they were not processed.
  */
 final class ClientConnection {
   /** Pending commands at which reading stops. */
@@ -37,12 +34,6 @@
   /** While this node ends, a client that takes nothing for this long is assumed not to read. */
   private static final long NOT_READING_TICKS = Ticks.PER_SECOND / 10;
 
-  private static final String PING = "PING";
-  private static final String INFO = "INFO";
-  private static final Buffer PONG = RespEncoder.line("+PONG");
-  private static final Buffer NOT_READY = RespEncoder.line("-ERR not ready");
-  private static final Buffer UNKNOWN_COMMAND = RespEncoder.line("-ERR unknown command");
-  private static final Buffer MALFORMED_COMMAND = RespEncoder.line("-ERR malformed command");
   private static final Buffer INCOMPLETE_COMMAND = RespEncoder.line("-ERR command incomplete");
   private static final String PROTOCOL_ERROR_PREFIX = "-ERR Protocol error: ";
 
@@ -50,6 +41,7 @@
   private final NetSocket socket;
   private final RespDecoder decoder;
   private final ReplyQueue replies;
+  private final ClientCommandDispatcher commands;
   private final ClientInput input;
   private boolean framingLost; // no more input is parsed
   private boolean closed; // or lingering; no more input is parsed and no more replies are written
@@ -63,6 +55,7 @@
     this.socket = socket;
     decoder = new RespDecoder(listener.memory().incompleteCommands());
     replies = new ReplyQueue(socket, listener.scheduler(), listener.memory().unsentReplies());
+    commands = new ClientCommandDispatcher(listener, this::addPendingReply);
     input = new ClientInput(socket, listener.scheduler(), this::inputCaughtUp);
     lastUsedTicks = listener.scheduler().now();
     socket.handler(this::read);
@@ -141,7 +134,7 @@
     metrics().add(Metric.CLIENT_CONNECTIONS_SILENT);
     framingLost = true;
     if (decoder.isEmpty()) close();
-    else replyLine(INCOMPLETE_COMMAND);
+    else addPendingReply().setLine(INCOMPLETE_COMMAND);
   }
 
   void closeIfIdle() {
@@ -208,7 +201,7 @@
     } catch (FramingException e) {
       metrics().add(Metric.COMMANDS_LOST_FRAMING);
       framingLost = true;
-      replyLine(RespEncoder.line(PROTOCOL_ERROR_PREFIX + e.problem()));
+      addPendingReply().setLine(RespEncoder.line(PROTOCOL_ERROR_PREFIX + e.problem()));
     } finally {
       processingInput = false;
     }
@@ -223,53 +216,10 @@
       lastUsedTicks = listener.scheduler().now();
       hasSentCommand = true;
       listener.commandReceived(this);
-      processCommand(command);
+      commands.process(command);
     }
   }
 
-  private void processCommand(RespValue command) throws FramingException {
-    if (command instanceof RespValue.Discarded) {
-      metrics().add(Metric.COMMANDS_OVER_MEMORY_LIMIT);
-      addPendingReply().reject(0);
-      return;
-    }
-    if (!(command instanceof RespValue.Array array)) {
-      char type = command instanceof RespValue.Line line ? line.type() : '$';
-      throw new FramingException("command of RESP2 type " + type, "a command is an array");
-    }
-    List<RespValue> words = array.elements() == null ? List.of() : array.elements();
-    String verb = verb(words);
-    if (verb.startsWith(ClientCommandDecoder.VERB_PREFIX)) {
-      processRequest(words);
-    } else if (verb.equalsIgnoreCase(PING)) {
-      replyLine(listener.isReady() ? PONG : NOT_READY);
-    } else if (verb.equalsIgnoreCase(INFO)) {
-      byte[] text = listener.handler().infoText().getBytes(StandardCharsets.ISO_8859_1);
-      addPendingReply().trySetBulk(text);
-    } else {
-      metrics().add(Metric.COMMANDS_UNKNOWN);
-      replyLine(UNKNOWN_COMMAND);
-    }
-  }
-
-  private static String verb(List<RespValue> words) {
-    return !words.isEmpty() && words.get(0) instanceof RespValue.Bulk verb ? verb.text() : "";
-  }
-
-  private void processRequest(List<RespValue> words) {
-    ClientRequest request;
-    try {
-      request = ClientCommandDecoder.decode(words);
-    } catch (MalformedMessageException e) {
-      metrics().add(Metric.COMMANDS_MALFORMED);
-      replyLine(MALFORMED_COMMAND);
-      return;
-    }
-    PendingReply pending = addPendingReply();
-    if (listener.isRejecting()) pending.reject(0);
-    else pending.awaitResponseTo(listener.handler().requestArrived(request, pending));
-  }
-
   // ---- replies
 
   private PendingReply addPendingReply() {
@@ -278,10 +228,6 @@
     return pending;
   }
 
-  private void replyLine(Buffer line) {
-    addPendingReply().setLine(line);
-  }
-
   /** Writes the replies that are set, up to the first command whose reply is still pending. */
   void flushReplies() {
     if (closed) return;
--- a/src/test/java/saltlatch/wire/client/ClientMemoryTest.java
+++ b/src/test/java/saltlatch/wire/client/ClientMemoryTest.java
@@ -16,6 +16,7 @@
   private static final String LONG_SUBMIT = RespText.command("SVC.SUBMIT", "0000000000000007", "11",
       "c=read,t=plan,d=900", "b".repeat(64 << 10));
   private static final int MISSING_BYTES = 2;
+  private static final String HELD_ID = "12";
   private static final byte[] LONG_VALUE = new byte[64 << 10];
   private static final int LONG_REPLY_BYTES = "$65536\r\n".length() + LONG_VALUE.length + 2;
   private static final String OUT_OF_MEMORY = "-ERR out of memory\r\n";
@@ -114,15 +115,20 @@
    */
   @Test
   void closesAClientThatDoesNotReadIfMemoryIsNeeded() throws Exception {
-    respondWith(client -> client.succeed(LONG_VALUE));
+    List<RequestContext> held = new ArrayList<>();
+    onRequest = (request, client) -> {
+      RequestContext context = requests.register(request, client);
+      if (request.id().equals(HELD_ID)) held.add(context);
+      else context.succeed(LONG_VALUE);
+      requests.releaseIfComplete(context);
+      return context;
+    };
     Socket notReading = connect();
     Thread writer = new Thread(() -> sendUntilBroken(notReading));
     writer.start();
     Socket other = connect();
     while (!metrics.infoText().contains("clients_not_reading=1\n")) {
-      send(other, QUERY);
-      if (receive(other, 1).equals("$")) receive(other, LONG_REPLY_BYTES - 1);
-      else receive(other, OUT_OF_MEMORY.length() - 1);
+      requestMoreThanTheMemoryHolds(other, held);
       scheduler.advance(2_500);
     }
     writer.join();
@@ -130,6 +136,23 @@
     assertEquals("$65536\r\n", receive(other, LONG_REPLY_BYTES).substring(0, 8));
   }
 
+  /** Has nine long replies of one client set before the first one is written, and reads all. */
+  private void requestMoreThanTheMemoryHolds(Socket client, List<RequestContext> held)
+      throws Exception {
+    send(client, QUERY.replace("$2\r\n10", "$2\r\n" + HELD_ID).repeat(9));
+    boolean[] arrived = new boolean[1];
+    while (!arrived[0]) scheduler.runOnLoop(() -> arrived[0] = held.size() == 9);
+    scheduler.runOnLoop(() -> {
+      for (int i = held.size() - 1; i >= 0; i--) held.get(i).succeed(LONG_VALUE);
+      held.forEach(requests::releaseIfComplete);
+      held.clear();
+    });
+    for (int i = 0; i < 9; i++) {
+      if (receive(client, 1).equals("$")) receive(client, LONG_REPLY_BYTES - 1);
+      else receive(client, OUT_OF_MEMORY.length() - 1);
+    }
+  }
+
   private static void sendUntilBroken(Socket socket) {
     try {
       while (true) send(socket, QUERY.repeat(100));
