--- a/src/test/java/saltlatch/node/MemoryPressureIT.java
+++ b/src/test/java/saltlatch/node/MemoryPressureIT.java
@@ -16,6 +16,8 @@
 class MemoryPressureIT extends ProcessHarness {
   private static final int ROUNDS = 2;
   private static final int STOPPING_CLIENTS = 500;
+  private static final int PIPELINING_CLIENTS = 60;
+  private static final int ORDERS_OF_EACH = 100;
   private static final int PIECES = 20;
   private static final int MISSING_BYTES = 2;
   private static final long MAX_PING_MS = 1_000;
@@ -77,4 +79,45 @@
     long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - stoppedNanos);
     assertTrue(elapsedMs <= OWED_WITHIN_MS, "errors after " + elapsedMs + " ms");
   }
+
+  /**
+   * Guards against clients that send many long orders at once and read all replies: what a stopped
+   * connection had read used up the direct memory, and each further read waited for it. Each order
+   * gets its reply, and a usual client is answered meanwhile.
+   */
+  @Test
+  void clientsThatPipelineLongOrdersDoNotHaltTheNode() throws Exception {
+    awaitReady();
+    Socket usual = connectClient();
+    List<Socket> clients = new ArrayList<>();
+    List<Thread> writers = new ArrayList<>();
+    for (int i = 0; i < PIPELINING_CLIENTS; i++) {
+      Socket client = connectClient();
+      String firstId = Integer.toString(i);
+      clients.add(client);
+      writers.add(new Thread(() -> sendOrders(client, firstId)));
+    }
+    writers.forEach(Thread::start);
+    for (Socket client : clients) {
+      assertPingIsAnswered(usual);
+      for (int i = 0; i < ORDERS_OF_EACH; i++) {
+        String reply = NodeHarness.readLine(client);
+        assertTrue(reply.startsWith("-BUSY") || reply.startsWith("-ERR"), reply);
+      }
+    }
+    for (Thread writer : writers) writer.join();
+    List<String> metrics = NodeHarness.infoLines(usual);
+    assertTrue(metrics.contains("exceptions=0"), metrics.toString());
+  }
+
+  private static void sendOrders(Socket client, String firstId) {
+    try {
+      for (int i = 0; i < ORDERS_OF_EACH; i++) {
+        NodeHarness.send(client, RespText.command("SVC.SUBMIT", "0000000000000007",
+            firstId + "-" + i, "c=read,t=plan,d=8000", "b".repeat(32 << 10)));
+      }
+    } catch (IOException e) {
+      // the test reads "closed" instead of the replies, and fails
+    }
+  }
 }
