--- a/src/test/java/saltlatch/node/MemoryPressureIT.java
+++ b/src/test/java/saltlatch/node/MemoryPressureIT.java
@@ -10,9 +10,14 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Isolated;
 import saltlatch.wire.resp.RespText;
 
-/** Clients that together send more than the heap of the packaged jar's process holds. */
+/**
+ * Clients that together send more than the heap of the packaged jar's process holds. Runs alone,
+ * since it asserts times that the node owes its clients.
+ */
+@Isolated
 class MemoryPressureIT extends ProcessHarness {
   private static final int ROUNDS = 2;
   private static final int STOPPING_CLIENTS = 500;
