--- a/src/main/java/saltlatch/state/MemoryBudget.java
+++ b/src/main/java/saltlatch/state/MemoryBudget.java
@@ -34,11 +34,6 @@
     reservedBytes -= bytes;
   }
 
-  /** Returns the limit in bytes. */
-  public long maxBytes() {
-    return maxBytes;
-  }
-
   /** Returns how many bytes are reserved now. */
   public long reservedBytes() {
     return reservedBytes;
--- a/src/main/java/saltlatch/wire/client/ClientConnection.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnection.java
@@ -2,7 +2,6 @@
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
-import java.util.List;
 import saltlatch.api.Ticks;
 import saltlatch.state.NodeMetrics;
 import saltlatch.state.NodeMetrics.Metric;
@@ -65,7 +64,7 @@
   }
 
   /** Returns whether no reply is pending. */
-  boolean isIdle() {
+  private boolean isIdle() {
     return replies.isEmpty();
   }
 
@@ -139,15 +138,14 @@
 
   void closeIfIdle() {
     if (closed) return;
-    replies.writeReady(listener.isRejecting());
+    writeReadyReplies();
     boolean clientReads = !replies.isStalledSince(listener.scheduler().now() - NOT_READING_TICKS);
     if (isUnused() || (isIdle() && !clientReads)) linger();
   }
 
   /** Aborts the requests that have no final response, so that they get one now. */
   void abortRequests() {
-    replies.snapshot().stream().filter(PendingReply::isAwaitingResponse)
-        .forEach(pending -> listener.handler().abort(pending.request()));
+    replies.unfinishedRequests().forEach(listener.handler()::abort);
   }
 
   /**
@@ -176,11 +174,8 @@
   private void connectionEnded() {
     closed = true;
     listener.connectionEnded(this);
-    List<PendingReply> unfinished = replies.snapshot();
+    replies.unfinishedRequests().forEach(listener.handler()::clientDisconnected);
     releaseMemory();
-    for (PendingReply pending : unfinished) {
-      if (pending.isAwaitingResponse()) listener.handler().clientDisconnected(pending.request());
-    }
   }
 
   private void releaseMemory() {
@@ -231,11 +226,16 @@
   /** Writes the replies that are set, up to the first command whose reply is still pending. */
   void flushReplies() {
     if (closed) return;
-    replies.writeReady(framingLost || listener.isRejecting());
+    writeReadyReplies();
     resumeReading();
     lingerIfFinished();
   }
 
+  private void writeReadyReplies() {
+    boolean connectionCloses = framingLost || listener.isRejecting();
+    replies.writeReady(connectionCloses);
+  }
+
   private boolean isFull() {
     return replies.size() >= MAX_PENDING_REPLIES;
   }
--- a/src/main/java/saltlatch/wire/client/ClientInput.java
+++ b/src/main/java/saltlatch/wire/client/ClientInput.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.net.NetSocket;
 import saltlatch.api.Ticks;
+import saltlatch.state.TimerQueue;
 import saltlatch.wire.transport.Scheduler;
 import saltlatch.wire.transport.SocketInput;
 
@@ -24,8 +25,7 @@
   private final Scheduler scheduler;
   private final Runnable onCaughtUp;
   private boolean stopped;
-  private boolean caughtUp = true;
-  private long resumptions;
+  private TimerQueue.Timer catchUp; // null unless reading was resumed and is not caught up yet
 
   /**
    * Creates the input of a connection that is being read.
@@ -43,7 +43,8 @@
   void stop() {
     if (stopped) return;
     stopped = true;
-    caughtUp = false;
+    if (catchUp != null) catchUp.cancel();
+    catchUp = null;
     SocketInput.stop(socket);
   }
 
@@ -52,17 +53,15 @@
     if (!stopped) return;
     stopped = false;
     SocketInput.resume(socket);
-    resumptions++;
-    awaitRead(resumptions, TIMERS_UNTIL_READ);
+    awaitRead(TIMERS_UNTIL_READ);
   }
 
-  private void awaitRead(long resumption, int timersLeft) {
-    scheduler.scheduleAt(scheduler.now() + TIMER_TICKS, () -> {
-      if (stopped || resumption != resumptions) return;
+  private void awaitRead(int timersLeft) {
+    catchUp = scheduler.scheduleAt(scheduler.now() + TIMER_TICKS, () -> {
       if (timersLeft > 1) {
-        awaitRead(resumption, timersLeft - 1);
+        awaitRead(timersLeft - 1);
       } else {
-        caughtUp = true;
+        catchUp = null;
         onCaughtUp.run();
       }
     });
@@ -74,6 +73,6 @@
 
   /** Returns whether everything that arrived while reading was stopped has been read. */
   boolean isCaughtUp() {
-    return caughtUp;
+    return !stopped && catchUp == null;
   }
 }
--- a/src/main/java/saltlatch/wire/client/ReplyQueue.java
+++ b/src/main/java/saltlatch/wire/client/ReplyQueue.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import saltlatch.state.ConnectionMemory;
 import saltlatch.state.MemoryBudget;
+import saltlatch.state.RequestContext;
 import saltlatch.wire.transport.Scheduler;
 
 /**
@@ -83,9 +84,10 @@
     memory.tryResize(Math.max(0, memory.heldBytes() - sizeBytes));
   }
 
-  /** Returns a copy of the pending replies, in the order of their commands. */
-  List<PendingReply> snapshot() {
-    return List.copyOf(pending);
+  /** Returns the requests without a final response, in the order of their commands. */
+  List<RequestContext> unfinishedRequests() {
+    return pending.stream().filter(PendingReply::isAwaitingResponse).map(PendingReply::request)
+        .toList();
   }
 
   /** Drops all replies and releases their memory; called when the connection ends. */
