Tests: one wait for a condition on the loop; MemoryPressureIT's shared steps once

MemoryPressureIT connected its clients and looked for exceptions in two places alike. All assertions stay.

--- a/src/test/java/saltlatch/node/MemoryPressureIT.java
+++ b/src/test/java/saltlatch/node/MemoryPressureIT.java
@@ -36,6 +36,17 @@
     return 1_024;
   }
 
+  private List<Socket> connectClients(int count) throws IOException {
+    List<Socket> clients = new ArrayList<>();
+    for (int i = 0; i < count; i++) clients.add(connectClient());
+    return clients;
+  }
+
+  private static void assertNoExceptions(Socket client) throws IOException {
+    List<String> metrics = NodeHarness.infoLines(client);
+    assertTrue(metrics.contains("exceptions=0"), metrics.toString());
+  }
+
   private static void assertPingIsAnswered(Socket client) throws IOException {
     long sentNanos = System.nanoTime();
     NodeHarness.send(client, PING);
@@ -54,14 +65,12 @@
     awaitReady();
     Socket usual = connectClient();
     for (int round = 0; round < ROUNDS; round++) {
-      List<Socket> stopping = new ArrayList<>();
-      for (int i = 0; i < STOPPING_CLIENTS; i++) stopping.add(connectClient());
+      List<Socket> stopping = connectClients(STOPPING_CLIENTS);
       sendPartsOfCommands(stopping, usual);
       awaitErrors(stopping, usual);
       for (Socket client : stopping) client.close();
     }
-    List<String> metrics = NodeHarness.infoLines(usual);
-    assertTrue(metrics.contains("exceptions=0"), metrics.toString());
+    assertNoExceptions(usual);
   }
 
   private static void sendPartsOfCommands(List<Socket> stopping, Socket usual) throws IOException {
@@ -94,12 +103,10 @@
   void clientsThatPipelineLongOrdersDoNotHaltTheNode() throws Exception {
     awaitReady();
     Socket usual = connectClient();
-    List<Socket> clients = new ArrayList<>();
+    List<Socket> clients = connectClients(PIPELINING_CLIENTS);
     List<Thread> writers = new ArrayList<>();
-    for (int i = 0; i < PIPELINING_CLIENTS; i++) {
-      Socket client = connectClient();
-      String firstId = Integer.toString(i);
-      clients.add(client);
+    for (Socket client : clients) {
+      String firstId = Integer.toString(writers.size());
       writers.add(new Thread(() -> sendOrders(client, firstId)));
     }
     writers.forEach(Thread::start);
@@ -111,8 +118,7 @@
       }
     }
     for (Thread writer : writers) writer.join();
-    List<String> metrics = NodeHarness.infoLines(usual);
-    assertTrue(metrics.contains("exceptions=0"), metrics.toString());
+    assertNoExceptions(usual);
   }
 
   private static void sendOrders(Socket client, String firstId) {
--- a/src/test/java/saltlatch/wire/appserver/AppServerClientTest.java
+++ b/src/test/java/saltlatch/wire/appserver/AppServerClientTest.java
@@ -114,8 +114,7 @@
   }
 
   private void awaitEnds(int count) throws Exception {
-    boolean[] reached = new boolean[1];
-    while (!reached[0]) scheduler.runOnLoop(() -> reached[0] = ends.size() == count);
+    scheduler.awaitOnLoop(() -> ends.size() == count);
   }
 
   /** Starts an attempt of a short request and waits until the app server has received it. */
--- a/src/test/java/saltlatch/wire/client/ClientListenerHarness.java
+++ b/src/test/java/saltlatch/wire/client/ClientListenerHarness.java
@@ -137,8 +137,7 @@
   }
 
   void awaitInFlight(int count) throws Exception {
-    boolean[] reached = new boolean[1];
-    while (!reached[0]) scheduler.runOnLoop(() -> reached[0] = requests.size() == count);
+    scheduler.awaitOnLoop(() -> requests.size() == count);
   }
 
   /** Connects, and waits for the reply to a PING, which shows that the listener has accepted. */
--- a/src/test/java/saltlatch/wire/client/ClientMemoryTest.java
+++ b/src/test/java/saltlatch/wire/client/ClientMemoryTest.java
@@ -28,11 +28,7 @@
   }
 
   private void awaitReserved(long minBytes) throws Exception {
-    boolean[] reached = new boolean[1];
-    while (!reached[0]) {
-      scheduler
-          .runOnLoop(() -> reached[0] = memory.incompleteCommands().reservedBytes() >= minBytes);
-    }
+    scheduler.awaitOnLoop(() -> memory.incompleteCommands().reservedBytes() >= minBytes);
   }
 
   /**
@@ -140,8 +136,7 @@
   private void requestMoreThanTheMemoryHolds(Socket client, List<RequestContext> held)
       throws Exception {
     send(client, QUERY.replace("$2\r\n10", "$2\r\n" + HELD_ID).repeat(9));
-    boolean[] arrived = new boolean[1];
-    while (!arrived[0]) scheduler.runOnLoop(() -> arrived[0] = held.size() == 9);
+    scheduler.awaitOnLoop(() -> held.size() == 9);
     scheduler.runOnLoop(() -> {
       for (int i = held.size() - 1; i >= 0; i--) held.get(i).succeed(LONG_VALUE);
       held.forEach(requests::releaseIfComplete);
--- a/src/test/java/saltlatch/wire/client/StoppedInputTest.java
+++ b/src/test/java/saltlatch/wire/client/StoppedInputTest.java
@@ -36,8 +36,7 @@
   }
 
   private void awaitArrivals(int minCount) throws Exception {
-    boolean[] reached = new boolean[1];
-    while (!reached[0]) scheduler.runOnLoop(() -> reached[0] = arrived.size() >= minCount);
+    scheduler.awaitOnLoop(() -> arrived.size() >= minCount);
   }
 
   /** Connects and sends more commands than may be pending; none of them is answered yet. */
--- a/src/test/java/saltlatch/wire/transport/ManualScheduler.java
+++ b/src/test/java/saltlatch/wire/transport/ManualScheduler.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import saltlatch.state.TimerQueue;
 
 /** A scheduler on an event loop whose clock is advanced only by the test. */
@@ -59,6 +60,12 @@
     await(done.future());
   }
 
+  /** Returns once the condition, which is evaluated on the loop, is true. */
+  public void awaitOnLoop(BooleanSupplier condition) throws Exception {
+    boolean[] reached = new boolean[1];
+    while (!reached[0]) runOnLoop(() -> reached[0] = condition.getAsBoolean());
+  }
+
   /** Waits for a future of the loop and returns its result. */
   public static <T> T await(Future<T> result) throws Exception {
     return result.toCompletionStage().toCompletableFuture().get(WAIT_SECONDS, TimeUnit.SECONDS);
