RespDecoder: a skipped message's lines are read by the decoder's own line reader

Change: the decoder reads the lines of a skipped message, and MessageSkipper only counts what is left of it. Behaviour is as before but for one byte: the second reader refused a line of exactly 1,024 characters that arrived whole, which the decoder accepts in any other message; the limit itself, RespHeader.MAX_LINE_BYTES, is the same.

Measured: DiscardedMessageTest (pieces of 1 to 19,999 bytes, broken framing), RespDecoderTest, ClientMemoryTest, ClientListenerTest, AppServerClientTest and StoppedInputTest pass unchanged.

--- a/src/main/java/saltlatch/wire/resp/RespDecoder.java
+++ b/src/main/java/saltlatch/wire/resp/RespDecoder.java
@@ -114,6 +114,7 @@
     if (requiredBytes > RespHeader.MAX_MESSAGE_BYTES) throw RespHeader.messageTooLong(end - begin);
     int sizeBytes = bufferSizeFor(requiredBytes);
     if (!memory.tryResize(sizeBytes)) {
+      memory.clear();
       skipper = new MessageSkipper();
       return false;
     }
@@ -128,17 +129,34 @@
     return steps * BUFFER_STEP_BYTES;
   }
 
+  /** Returns null if the end of the message that is being skipped is not buffered. */
   private RespValue skip() throws FramingException {
-    begin = skipper.skip(buffer, begin, end);
-    RespValue discarded = null;
-    if (skipper.isComplete()) {
-      discarded = new RespValue.Discarded(skipper.skippedBytes());
-      skipper = null;
+    skipBuffered();
+    if (!skipper.isComplete()) {
+      int receivedBytes = skipper.skippedBytes() + end - begin;
+      if (receivedBytes > RespHeader.MAX_MESSAGE_BYTES)
+        throw RespHeader.messageTooLong(receivedBytes);
+      shrinkTo(bufferSizeFor(end - begin));
+      return null;
     }
+    RespValue discarded = new RespValue.Discarded(skipper.skippedBytes());
+    skipper = null;
     messageEnded();
     return discarded;
   }
 
+  /** Skips the buffered part of a message; only a line without its end stays buffered. */
+  private void skipBuffered() throws FramingException {
+    while (!skipper.isComplete()) {
+      begin += skipper.skipBulkBytes(end - begin);
+      position = begin;
+      String line = readLine();
+      if (line == null) return;
+      skipper.skipLine(line, position - begin);
+      begin = position;
+    }
+  }
+
   /** Returns null if the value is incomplete, as all methods below do. */
   private RespValue readValue(int level) throws FramingException {
     String line = readLine();
