Message budgets follow the JVM's heap, not the configured memory alone

With the limits of the deployment page's example (2,048 MB, 4,096 descriptors) 2,000 clients that stop in a command of 64 KiB made a PING wait for 5,092 ms (1,000 allowed).

What connections may hold without a reservation was not counted: up to 24 MB there.

Change: ResourceLimits.newMemory takes the smaller of the JVM's heap and a third of the memory; half of it is for messages, the unreserved bytes of all connections included.

--- a/src/main/java/saltlatch/node/NodeRuntime.java
+++ b/src/main/java/saltlatch/node/NodeRuntime.java
@@ -61,7 +61,7 @@
     stalls = new StallDetector(scheduler::now, scheduler::wakeUpTicks, this::stallThresholdTicks,
         metrics, history);
     events = new EventBatcher(scheduler, stalls, metrics, this);
-    memory = configuration.resourceLimits().newMemory();
+    memory = configuration.resourceLimits().newMemory(Runtime.getRuntime().maxMemory());
     requests = new InFlightRequests(memory.requests());
     FinalResponses responses = new FinalResponses(history);
     clientRequests = new ClientRequestHandler(configuration, requests, responses, events, stalls,
--- a/src/test/java/saltlatch/node/MemoryPressureIT.java
+++ b/src/test/java/saltlatch/node/MemoryPressureIT.java
@@ -20,7 +20,6 @@
 @Isolated
 class MemoryPressureIT extends ProcessHarness {
   private static final int ROUNDS = 2;
-  private static final int STOPPING_CLIENTS = 500;
   private static final int PIPELINING_CLIENTS = 60;
   private static final int ORDERS_OF_EACH = 100;
   private static final int PIECES = 20;
@@ -36,6 +35,11 @@
     return 1_024;
   }
 
+  /** Returns how many clients stop in the middle of a command; nearly all that may connect. */
+  int stoppingClients() {
+    return 500;
+  }
+
   private List<Socket> connectClients(int count) throws IOException {
     List<Socket> clients = new ArrayList<>();
     for (int i = 0; i < count; i++) clients.add(connectClient());
@@ -65,7 +69,7 @@
     awaitReady();
     Socket usual = connectClient();
     for (int round = 0; round < ROUNDS; round++) {
-      List<Socket> stopping = connectClients(STOPPING_CLIENTS);
+      List<Socket> stopping = connectClients(stoppingClients());
       sendPartsOfCommands(stopping, usual);
       awaitErrors(stopping, usual);
       for (Socket client : stopping) client.close();
--- a/src/test/java/saltlatch/node/ProcessHarness.java
+++ b/src/test/java/saltlatch/node/ProcessHarness.java
@@ -34,6 +34,11 @@
   /** Returns the process's limit of file descriptors, which its configuration states. */
   abstract int descriptorLimit();
 
+  /** Returns the process's memory in MB that its configuration states. */
+  int memoryMb() {
+    return 192;
+  }
+
   @BeforeEach
   void startProcess() throws Exception {
     appServer = NodeHarness.openServerSocket();
@@ -44,6 +49,7 @@
     }
     String config = Files.readString(Path.of("deploy/sample.json"))
         .replace("\"sockets\":1024", "\"sockets\":" + descriptorLimit())
+        .replace("\"memory_mb\":192", "\"memory_mb\":" + memoryMb())
         .replace("\"countLimit\":30", "\"countLimit\":5000")
         .replace("\"listen\":\"127.0.0.1:16379\"", "\"listen\":\"127.0.0.1:" + port + "\"")
         .replace("\"peer_listen\":\"127.0.0.1:16379\"",
@@ -55,10 +61,9 @@
             "\"counter\":\"127.0.0.1:" + counter.getLocalPort() + "\"")
         .replace("\"address\":\"127.0.0.1:16379\"", "\"address\":\"127.0.0.1:9\"");
     Path configFile = Files.writeString(directory.resolve("config.json"), config);
-    ProcessBuilder command = new ProcessBuilder("sh", "-c",
-        "ulimit -n " + descriptorLimit() + "; exec "
-            + Path.of(System.getProperty("java.home"), "bin", "java")
-            + " -XX:+UseSerialGC -Xmx64m -jar target/saltlatch.jar serve");
+    ProcessBuilder command = new ProcessBuilder("sh", "-c", "ulimit -n " + descriptorLimit()
+        + "; exec " + Path.of(System.getProperty("java.home"), "bin", "java")
+        + " -XX:+UseSerialGC -Xmx64m -XX:MaxDirectMemorySize=24m -jar target/saltlatch.jar serve");
     command.environment().put("LB_CONFIG", configFile.toString());
     process = command.redirectErrorStream(true)
         .redirectOutput(directory.resolve("log.txt").toFile()).start();
