A connection that is ending is closed for a new one only after its replies are sent

Callers saw, once all connections that clients may open were in use: a client whose connection was ending got 42 of its replies whole and a part of the next one (test, loopback).

Cause: ClientConnections.selectForClosing took the oldest lingering connection whatever it still had to send; ClientConnection.close does not wait for pending writes.

The class comment states it.

--- a/src/main/java/saltlatch/wire/client/ClientConnection.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnection.java
@@ -22,7 +22,8 @@
  * among them has its reply or a place in the queue of replies. This side closes the connection only
  * once all these replies are written, and never before it has read what arrived while reading was
  * stopped. This holds for each close: after a reply at shutdown, when the connection is unused,
- * incomplete or replaced by a new one, and when this node ends; a reload closes none. There are
+ * incomplete or replaced by a new one, and when this node ends; a reload closes none. A connection
+ * that is already ending is replaced only after its client has been sent the replies. There are
  * three exceptions. After lost framing the following bytes are no commands. A client that has
  * closed its side, or that does not read its replies, cannot receive any. Bytes that arrive during
  * the close stay unread, and the resulting reset shows the client that they were not processed.
@@ -73,8 +74,12 @@
    * reply, or the client has read none for too long.
    */
   boolean isReplaceable(long staleTicks) {
-    boolean losesNoReply = input.isCaughtUp() && replies.isSent();
-    return losesNoReply || replies.isStalledSince(staleTicks);
+    return replies.isStalledSince(staleTicks) || (input.isCaughtUp() && replies.isSent());
+  }
+
+  /** Returns whether the client has been sent all its replies, or has read none for too long. */
+  boolean owesNoReply(long staleTicks) {
+    return replies.isSent() || replies.isStalledSince(staleTicks);
   }
 
   /** Reserves memory for a reply of this size; returns false if all memory is in use. */
--- a/src/main/java/saltlatch/wire/client/ClientConnections.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnections.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * The clients' connections, grouped by state. If the limit is reached, one of them is selected for
@@ -51,17 +52,23 @@
   }
 
   /**
-   * Returns the connection to close in favour of a new one: first one that is already lingering;
-   * then the least recently used replaceable one, if it was last used at {@code staleTicks} or
-   * earlier; then the oldest one that has sent no complete command; then a replaceable one that was
-   * used more recently, whose client can send its next request on a new connection. Returns null if
-   * all connections have unsent replies.
+   * Returns the connection to close in favour of a new one: first one that is already lingering and
+   * owes no reply; then the least recently used replaceable one, if it was last used at
+   * {@code staleTicks} or earlier; then the oldest one that has sent no complete command; then a
+   * replaceable one that was used more recently, whose client can send its next request on a new
+   * connection. Returns null if all connections have unsent replies.
    */
   ClientConnection selectForClosing(long staleTicks) {
-    if (!lingering.isEmpty()) return lingering.iterator().next();
-    ClientConnection replaceable = used.stream()
-        .filter(connection -> connection.isReplaceable(staleTicks)).findFirst().orElse(null);
+    ClientConnection finished = first(lingering, connection -> connection.owesNoReply(staleTicks));
+    if (finished != null) return finished;
+    ClientConnection replaceable = first(used, connection -> connection.isReplaceable(staleTicks));
     if (replaceable != null && replaceable.lastUsedTicks() <= staleTicks) return replaceable;
     return silent.isEmpty() ? replaceable : silent.iterator().next();
   }
+
+  /** Returns the first connection that the condition holds for; null if there is none. */
+  private static ClientConnection first(Set<ClientConnection> connections,
+      Predicate<ClientConnection> condition) {
+    return connections.stream().filter(condition).findFirst().orElse(null);
+  }
 }
--- /dev/null
+++ b/src/test/java/saltlatch/wire/client/ConnectionReplacementTest.java
@@ -0,0 +1,61 @@
+package saltlatch.wire.client;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import saltlatch.state.RequestContext;
+
+/** Which connection ends in favour of a new one once all that clients may open are in use. */
+class ConnectionReplacementTest extends ClientListenerHarness {
+  private static final int RECEIVE_BUFFER_BYTES = 4 << 10;
+  private static final int QUERIES = 63; // one less than the pending replies at which reading stops
+  private static final byte[] LONG_VALUE = new byte[64 << 10];
+  private static final String REJECTED = "-BUSY\r\n";
+  private static final int LONG_REPLY_BYTES = "$65536\r\n".length() + LONG_VALUE.length + 2;
+
+  /**
+   * Guards against closing a connection that ends after its replies, in favour of a new one, before
+   * its client has been sent them: the rest of the replies was lost.
+   */
+  @Test
+  void sendsAllRepliesOfAConnectionThatEnds() throws Exception {
+    List<RequestContext> arrived = new ArrayList<>();
+    onRequest = (request, client) -> {
+      arrived.add(requests.register(request, client));
+      return arrived.get(arrived.size() - 1);
+    };
+    Socket slow = connectWithSmallReceiveBuffer();
+    send(slow, QUERY.repeat(QUERIES) + "no command\r\n");
+    awaitInFlight(QUERIES);
+    int longReplies = 0;
+    while (longReplies < QUERIES && memory.unsentReplies().reservedBytes() == 0) {
+      RequestContext request = arrived.get(longReplies++);
+      scheduler.runOnLoop(() -> request.succeed(LONG_VALUE));
+    }
+    assertTrue(memory.unsentReplies().reservedBytes() > 0, "the system has taken all replies");
+    for (RequestContext request : arrived.subList(longReplies, QUERIES))
+      scheduler.runOnLoop(() -> request.reject(0));
+    for (int i = 0; i < MAX_CONNECTIONS; i++) connectAndPing();
+    for (int i = 0; i < longReplies; i++)
+      assertEquals(LONG_REPLY_BYTES, receive(slow, LONG_REPLY_BYTES).length(), "reply " + i);
+    String rest = new String(slow.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    String expected = REJECTED.repeat(QUERIES - longReplies) + "-ERR Protocol error";
+    assertTrue(rest.startsWith(expected), rest);
+  }
+
+  private Socket connectWithSmallReceiveBuffer() throws Exception {
+    Socket socket = new Socket();
+    sockets.add(socket);
+    socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+    socket.setSoTimeout(20_000);
+    socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), listener.port()));
+    return socket;
+  }
+}
