Listener tests: one way to hold requests

duplicates named the same lines in ConnectionReplacementTest, ClientListenerTest and ClientMemoryTest, and StoppedInputTest had them a fourth time. ClientListenerHarness.holdRequests is these lines now; every assertion is as before.

--- a/src/test/java/saltlatch/wire/client/ClientListenerHarness.java
+++ b/src/test/java/saltlatch/wire/client/ClientListenerHarness.java
@@ -43,6 +43,7 @@
       new MemoryBudget(1 << 20), new MemoryBudget(0), new MemoryBudget(UNSENT_REPLY_BYTES));
   final InFlightRequests requests = new InFlightRequests(memory.requests());
   final List<Socket> sockets = new ArrayList<>();
+  final List<RequestContext> arrived = new ArrayList<>(); // after holdRequests()
   BiFunction<ClientRequest, ResponseSink, RequestContext> onRequest = requests::register;
   Vertx vertx;
   ManualScheduler scheduler;
@@ -129,6 +130,15 @@
     socket.close();
   }
 
+  /** Keeps all requests without a response; the test sets their responses on the loop. */
+  void holdRequests() {
+    onRequest = (request, client) -> {
+      RequestContext context = requests.register(request, client);
+      arrived.add(context);
+      return context;
+    };
+  }
+
   void respondWith(Consumer<ResponseSink> response) {
     onRequest = (request, client) -> {
       response.accept(client);
--- a/src/test/java/saltlatch/wire/client/ClientListenerTest.java
+++ b/src/test/java/saltlatch/wire/client/ClientListenerTest.java
@@ -11,7 +11,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import saltlatch.state.RequestContext;
 import saltlatch.wire.transport.ManualScheduler;
 
 /**
@@ -103,11 +102,7 @@
   /** A reply is written only after the replies to all earlier commands of the connection. */
   @Test
   void writesRepliesInTheOrderOfCommands() throws Exception {
-    List<RequestContext> arrived = new ArrayList<>();
-    onRequest = (request, client) -> {
-      arrived.add(requests.register(request, client));
-      return arrived.get(arrived.size() - 1);
-    };
+    holdRequests();
     Socket socket = connect();
     send(socket, QUERY + QUERY + PING);
     awaitInFlight(2);
--- a/src/test/java/saltlatch/wire/client/ClientMemoryTest.java
+++ b/src/test/java/saltlatch/wire/client/ClientMemoryTest.java
@@ -82,11 +82,7 @@
    */
   @Test
   void failsLongRepliesIfTheMemoryForUnsentRepliesIsUsed() throws Exception {
-    List<RequestContext> arrived = new ArrayList<>();
-    onRequest = (request, client) -> {
-      arrived.add(requests.register(request, client));
-      return arrived.get(arrived.size() - 1);
-    };
+    holdRequests();
     Socket socket = connect();
     send(socket, QUERY.repeat(10));
     awaitInFlight(10);
--- a/src/test/java/saltlatch/wire/client/ConnectionReplacementTest.java
+++ b/src/test/java/saltlatch/wire/client/ConnectionReplacementTest.java
@@ -7,8 +7,6 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
 import org.junit.jupiter.api.Test;
 import saltlatch.state.RequestContext;
 
@@ -26,11 +24,7 @@
    */
   @Test
   void sendsAllRepliesOfAConnectionThatEnds() throws Exception {
-    List<RequestContext> arrived = new ArrayList<>();
-    onRequest = (request, client) -> {
-      arrived.add(requests.register(request, client));
-      return arrived.get(arrived.size() - 1);
-    };
+    holdRequests();
     Socket slow = connectWithSmallReceiveBuffer();
     send(slow, QUERY.repeat(QUERIES) + "no command\r\n");
     awaitInFlight(QUERIES);
--- a/src/test/java/saltlatch/wire/client/StoppedInputTest.java
+++ b/src/test/java/saltlatch/wire/client/StoppedInputTest.java
@@ -5,7 +5,6 @@
 
 import java.io.IOException;
 import java.net.Socket;
-import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -22,14 +21,14 @@
   private static final int MAX_READ_BYTES = 16 << 10;
   private static final String REJECTED = "-BUSY\r\n";
 
-  private final List<RequestContext> arrived = new ArrayList<>();
   private boolean rejectsOnArrival;
 
   @BeforeEach
-  void holdRequests() {
+  void holdOrRejectRequests() {
+    holdRequests();
+    var holding = onRequest;
     onRequest = (request, client) -> {
-      RequestContext context = requests.register(request, client);
-      arrived.add(context);
+      RequestContext context = holding.apply(request, client);
       if (rejectsOnArrival) context.reject(0);
       return context;
     };
