MemoryPressureIT: the usual client has sent a command before the others come

Cause: the test. It connected the usual client and sent nothing on it until all others were connected and their threads started. The node closes a connection without a command after 2 s, as the protocol asks. On the packaged jar a first PING after 2.6 s finds it closed, after 0 and 1 s it is answered, and a client that has sent one command is answered after 4 s of rest. The failed run itself kept no log of the node, so that it waited that long there is inferred.

Change: ProcessHarness.awaitReady returns the client whose PING it has read, which it threw away before; both tests use it. Every assertion and bound is as it was.

--- a/src/test/java/saltlatch/node/MemoryPressureIT.java
+++ b/src/test/java/saltlatch/node/MemoryPressureIT.java
@@ -69,8 +69,7 @@
    */
   @Test
   void clientsThatStopInLongCommandsDoNotHaltTheNode() throws Exception {
-    awaitReady();
-    Socket usual = connectClient();
+    Socket usual = awaitReady();
     for (int round = 0; round < ROUNDS; round++) {
       List<Socket> stopping = connectClients(stoppingClients());
       sendPartsOfCommands(stopping, usual);
@@ -122,8 +121,7 @@
    */
   @Test
   void clientsThatPipelineLongOrdersDoNotHaltTheNode() throws Exception {
-    awaitReady();
-    Socket usual = connectClient();
+    Socket usual = awaitReady();
     List<Socket> clients = connectClients(PIPELINING_CLIENTS);
     List<Thread> writers = new ArrayList<>();
     for (Socket client : clients) {
--- a/src/test/java/saltlatch/node/ProcessHarness.java
+++ b/src/test/java/saltlatch/node/ProcessHarness.java
@@ -92,13 +92,14 @@
     return connection;
   }
 
-  void awaitReady() throws Exception {
+  /** Waits until the node serves; returns the client whose PING was answered. */
+  Socket awaitReady() throws Exception {
     while (true) {
       assertTrue(process.isAlive());
       try {
         Socket client = connectClient();
         NodeHarness.send(client, PING);
-        if (NodeHarness.readLine(client).equals("+PONG")) return;
+        if (NodeHarness.readLine(client).equals("+PONG")) return client;
       } catch (IOException e) {
         Thread.sleep(20); // not listening yet
       }
