Listener tests: the long value and the rejection stand once

ClientMemoryTest, ConnectionReplacementTest and StoppedInputTest each had these constants; ClientListenerHarness has them now.

--- a/src/test/java/saltlatch/wire/client/ClientListenerHarness.java
+++ b/src/test/java/saltlatch/wire/client/ClientListenerHarness.java
@@ -37,6 +37,9 @@
   static final int MAX_CONNECTIONS = 4;
   static final int INCOMPLETE_COMMAND_BYTES = 100 << 10; // one command of 64 KiB, not two
   static final int UNSENT_REPLY_BYTES = 500 << 10; // seven replies of 64 KiB, not eight
+  static final byte[] LONG_VALUE = new byte[64 << 10];
+  static final int LONG_REPLY_BYTES = "$65536\r\n".length() + LONG_VALUE.length + 2;
+  static final String REJECTED = "-BUSY\r\n";
   static final String INFO_TEXT = "reqs=1\nheld=0\n";
 
   final NodeMemory memory = new NodeMemory(new MemoryBudget(INCOMPLETE_COMMAND_BYTES),
--- a/src/test/java/saltlatch/wire/client/ClientMemoryTest.java
+++ b/src/test/java/saltlatch/wire/client/ClientMemoryTest.java
@@ -17,8 +17,6 @@
       "c=read,t=plan,d=900", "b".repeat(64 << 10));
   private static final int MISSING_BYTES = 2;
   private static final String HELD_ID = "12";
-  private static final byte[] LONG_VALUE = new byte[64 << 10];
-  private static final int LONG_REPLY_BYTES = "$65536\r\n".length() + LONG_VALUE.length + 2;
   private static final String OUT_OF_MEMORY = "-ERR out of memory\r\n";
 
   private Socket connectAndSendPart(String command) throws Exception {
--- a/src/test/java/saltlatch/wire/client/ConnectionReplacementTest.java
+++ b/src/test/java/saltlatch/wire/client/ConnectionReplacementTest.java
@@ -14,9 +14,6 @@
 class ConnectionReplacementTest extends ClientListenerHarness {
   private static final int RECEIVE_BUFFER_BYTES = 4 << 10;
   private static final int QUERIES = 63; // one less than the pending replies at which reading stops
-  private static final byte[] LONG_VALUE = new byte[64 << 10];
-  private static final String REJECTED = "-BUSY\r\n";
-  private static final int LONG_REPLY_BYTES = "$65536\r\n".length() + LONG_VALUE.length + 2;
 
   /**
    * Guards against closing a connection that ends after its replies, in favour of a new one, before
--- a/src/test/java/saltlatch/wire/client/StoppedInputTest.java
+++ b/src/test/java/saltlatch/wire/client/StoppedInputTest.java
@@ -19,7 +19,6 @@
   private static final int SECOND_BURST = 50;
   private static final int MAX_PENDING_REPLIES = 64;
   private static final int MAX_READ_BYTES = 16 << 10;
-  private static final String REJECTED = "-BUSY\r\n";
 
   private boolean rejectsOnArrival;
 
