Answer commands read in the iteration that stops or ends their connection

Callers (by a listener test): the next command of a connection got no reply and no reset when the event loop read it in the same iteration in which another connection's event ended it or stopped its reading.

Cause: epoll hands over what it found before the stop. ClientConnection.read took any read after a stop for the client's close, and LingeringClose discarded what came after its begin.

Change: bytes after a stop are commands unless TCP_INFO says that the client has closed its side (TcpConnectionInfo, was TcpReceiveAge). A lingering close begins one iteration after reading was stopped, and not if commands came in between. The class comment states it.

--- a/src/main/java/saltlatch/wire/client/ClientConnection.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnection.java
@@ -10,7 +10,7 @@
 import saltlatch.wire.resp.RespEncoder;
 import saltlatch.wire.resp.RespValue;
 import saltlatch.wire.transport.SocketCloser;
-import saltlatch.wire.transport.TcpReceiveAge;
+import saltlatch.wire.transport.TcpConnectionInfo;
 
 /**
  * One client's connection. Passes requests to the handler when their commands arrive, and writes
@@ -22,11 +22,13 @@
  * among them has its reply or a place in the queue of replies. This side closes the connection only
  * once all these replies are written, and never before it has read what arrived while reading was
  * stopped. This holds for each close: after a reply at shutdown, when the connection is unused,
- * incomplete or replaced by a new one, and when this node ends; a reload closes none. A connection
- * that is already ending is replaced only after its client has been sent the replies. There are
- * three exceptions. After lost framing the following bytes are no commands. A client that has
- * closed its side, or that does not read its replies, cannot receive any. Bytes that arrive during
- * the close stay unread, and the resulting reset shows the client that they were not processed.
+ * incomplete or replaced by a new one, and when this node ends; a reload closes none. The event
+ * loop may still hand over bytes after reading was stopped, so the close begins one iteration after
+ * the stop, and not if commands came in between. A connection that is already ending is replaced
+ * only after its client has been sent the replies. There are three exceptions. After lost framing
+ * the following bytes are no commands. A client that has closed its side, or that does not read its
+ * replies, cannot receive any. Bytes that arrive during the close stay unread, and the resulting
+ * reset shows the client that they were not processed.
  */
 final class ClientConnection {
   /** Pending commands at which reading stops. */
@@ -47,6 +49,7 @@
   private boolean closed; // or lingering; no more input is parsed and no more replies are written
   private boolean processingInput; // the commands of the latest read are being processed
   private boolean hasSentCommand;
+  private boolean hasReadSinceStop; // while this side is about to close the connection
   // time of the accept, of the last complete command, or of the first byte of the next command
   private long lastUsedTicks;
 
@@ -97,7 +100,7 @@
 
   /** Returns how long ago the operating system received the last bytes; 0 if unknown. */
   long readDelayTicks() {
-    return TcpReceiveAge.ticksSinceLastReceive(socket);
+    return TcpConnectionInfo.ticksSinceLastReceive(socket);
   }
 
   // ---- closing
@@ -145,7 +148,8 @@
     if (closed) return;
     writeReadyReplies();
     boolean clientReads = !replies.isStalledSince(listener.scheduler().now() - NOT_READING_TICKS);
-    if (isUnused() || (isIdle() && !clientReads)) linger();
+    if (isUnused()) lingerAfterLastRead();
+    else if (isIdle() && !clientReads) linger();
   }
 
   /** Aborts the requests that have no final response, so that they get one now. */
@@ -161,7 +165,22 @@
    */
   private void lingerIfFinished() {
     if (closed || processingInput || !isIdle()) return;
-    if (framingLost || (listener.isClosing() && isUnused() && decoder.isEmpty())) linger();
+    if (framingLost) linger();
+    else if (listener.isClosing() && isUnused() && decoder.isEmpty()) lingerAfterLastRead();
+  }
+
+  /**
+   * Stops reading, and starts a lingering close once the loop can hand over no more bytes. Guards
+   * against discarding a command that the loop reads after the stop.
+   */
+  private void lingerAfterLastRead() {
+    hasReadSinceStop = false;
+    input.stop();
+    listener.scheduler().afterCurrentIteration(() -> {
+      if (closed) return;
+      if (hasReadSinceStop) resumeReading();
+      else linger();
+    });
   }
 
   /** Returns whether no reply is pending, and no command waits in the operating system. */
@@ -191,8 +210,8 @@
   // ---- commands
 
   private void read(Buffer received) {
-    boolean clientHasClosed = input.isStopped();
-    if (framingLost || closed || clientHasClosed) return;
+    if (framingLost || closed || clientHasClosed()) return;
+    hasReadSinceStop = true;
     if (decoder.isEmpty()) lastUsedTicks = listener.scheduler().now();
     decoder.feed(received);
     processingInput = true;
@@ -211,6 +230,14 @@
       listener.scheduler().afterCurrentIteration(this::lingerIfFinished);
   }
 
+  /**
+   * Returns whether the client has closed its side. Only asked while reading is stopped, since the
+   * close itself is not handed over before all bytes in front of it.
+   */
+  private boolean clientHasClosed() {
+    return input.isStopped() && TcpConnectionInfo.isClosedByPeer(socket);
+  }
+
   private void processCommands() throws FramingException {
     for (RespValue command = decoder.next(); command != null; command = decoder.next()) {
       lastUsedTicks = listener.scheduler().now();
--- a/src/test/java/saltlatch/wire/client/ClientListenerHarness.java
+++ b/src/test/java/saltlatch/wire/client/ClientListenerHarness.java
@@ -7,6 +7,7 @@
 import io.vertx.core.net.SocketAddress;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -37,6 +38,7 @@
   static final int MAX_CONNECTIONS = 4;
   static final int INCOMPLETE_COMMAND_BYTES = 100 << 10; // one command of 64 KiB, not two
   static final int UNSENT_REPLY_BYTES = 500 << 10; // seven replies of 64 KiB, not eight
+  private static final int SMALL_RECEIVE_BUFFER_BYTES = 4 << 10;
   static final byte[] LONG_VALUE = new byte[64 << 10];
   static final int LONG_REPLY_BYTES = "$65536\r\n".length() + LONG_VALUE.length + 2;
   static final String REJECTED = "-BUSY\r\n";
@@ -101,6 +103,16 @@
     return socket;
   }
 
+  /** Connects a client whose system takes few bytes that the client has not read. */
+  Socket connectWithSmallReceiveBuffer() throws Exception {
+    Socket socket = new Socket();
+    sockets.add(socket);
+    socket.setReceiveBufferSize(SMALL_RECEIVE_BUFFER_BYTES);
+    socket.setSoTimeout(20_000);
+    socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), listener.port()));
+    return socket;
+  }
+
   static void send(Socket socket, String text) throws IOException {
     socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
   }
--- a/src/test/java/saltlatch/wire/client/ConnectionReplacementTest.java
+++ b/src/test/java/saltlatch/wire/client/ConnectionReplacementTest.java
@@ -3,8 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
@@ -12,7 +10,6 @@
 
 /** Which connection ends in favour of a new one once all that clients may open are in use. */
 class ConnectionReplacementTest extends ClientListenerHarness {
-  private static final int RECEIVE_BUFFER_BYTES = 4 << 10;
   private static final int QUERIES = 63; // one less than the pending replies at which reading stops
 
   /**
@@ -40,13 +37,4 @@
     String expected = REJECTED.repeat(QUERIES - longReplies) + "-ERR Protocol error";
     assertTrue(rest.startsWith(expected), rest);
   }
-
-  private Socket connectWithSmallReceiveBuffer() throws Exception {
-    Socket socket = new Socket();
-    sockets.add(socket);
-    socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
-    socket.setSoTimeout(20_000);
-    socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), listener.port()));
-    return socket;
-  }
 }
