--- a/src/test/java/saltlatch/lab/MembersIT.java
+++ b/src/test/java/saltlatch/lab/MembersIT.java
@@ -117,6 +117,15 @@
     return state;
   }
 
+  /** Asserts that an observer marked a member failed within T1 of its fault. */
+  private void assertFailedInTime(String observer, String member, double faultS) {
+    double latestS = faultS + limitS("members_t1_ms");
+    double failedAtS = firstSeconds("member", event -> event.name().equals(observer)
+        && event.get("member").equals(member) && event.get("state").equals("failed"), faultS);
+    assertTrue(failedAtS <= latestS, () -> observer + ": expected " + member + " failed by "
+        + latestS + " s, found " + failedAtS + " s" + membershipEvents(observer, member));
+  }
+
   /** Returns what an observer recorded about itself and a member, for the trace of a failure. */
   private String membershipEvents(String observer, String member) {
     StringBuilder text = new StringBuilder();
@@ -174,14 +183,7 @@
     assertTrue(7 + limitS("members_t1_ms") <= 34,
         "T1 is too long for the length of the run: " + info);
     for (String observer : List.of("n0", "n1", "n2")) {
-      for (int i = 3; i < 10; i++) {
-        String member = "n" + i;
-        double failedAtS = firstSeconds("member", event -> event.name().equals(observer)
-            && event.get("member").equals(member) && event.get("state").equals("failed"), 7);
-        assertTrue(failedAtS <= 7 + limitS("members_t1_ms"),
-            () -> observer + ": expected " + member + " failed by " + (7 + limitS("members_t1_ms"))
-                + " s, found " + failedAtS + " s" + membershipEvents(observer, member));
-      }
+      for (int i = 3; i < 10; i++) assertFailedInTime(observer, "n" + i, 7);
       assertTrue(
           history.stream()
               .anyMatch(event -> event.kind().equals("standing") && event.name().equals(observer)
@@ -317,12 +319,7 @@
           "expected only n4 marked failed, by others and after 14 s; found " + event);
     }
     for (String observer : List.of("n0", "n1", "n2", "n3")) {
-      assertTrue(
-          firstSeconds("member",
-              event -> event.name().equals(observer) && event.get("member").equals("n4")
-                  && event.get("state").equals("failed"),
-              14) <= 14 + limitS("members_t1_ms"),
-          observer + ": expected n4 marked failed within T1, found no such event in time");
+      assertFailedInTime(observer, "n4", 14);
       assertEquals("alive",
           recordedState(observer, "n4", 38 + Math.min(17.5, limitS("members_t2_ms"))),
           observer + " of n4");
