--- a/src/test/java/saltlatch/lab/MembersIT.java
+++ b/src/test/java/saltlatch/lab/MembersIT.java
@@ -10,10 +10,7 @@
 import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.junit.jupiter.api.parallel.Execution;
-import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.api.parallel.Isolated;
-import org.junit.jupiter.api.parallel.ResourceLock;
 import saltlatch.lab.check.HistoryEvent;
 import saltlatch.lab.load.RunResult;
 import saltlatch.lab.rig.Processes;
@@ -24,16 +21,12 @@
  * Runs node processes with membership under process and link faults that are difficult for it. The
  * time limits are those that the nodes report in INFO. In every run, the shares of a quota must not
  * sum to more than the quota.
+ *
+ * <p>One fleet runs at a time, and no other test. Guards against starting many processes together:
+ * on a slow machine nodes got too little CPU time for the times that they owe.
  */
 @Isolated
-@Execution(ExecutionMode.CONCURRENT)
 class MembersIT {
-  /**
-   * At most two fleets run at a time, and no other test. Guards against starting many processes
-   * together: on a slow machine nodes got too little CPU time for the times that they owe.
-   */
-  private static final String FIRST_FLEET = "members-fleet-1";
-  private static final String SECOND_FLEET = "members-fleet-2";
   // a busy machine may add this to a reported limit: timers and datagrams are late
   private static final double BUSY_MACHINE_S = 2;
   private static final String COMMON = """
@@ -157,7 +150,6 @@
    * planned, and the others must record that it left without marking it failed.
    */
   @Test
-  @ResourceLock(FIRST_FLEET)
   void detectsKilledAndTerminatedNodes() throws Exception {
     run(34, 10, """
         [[processes.faults]]
@@ -221,7 +213,6 @@
    * that may have run.
    */
   @Test
-  @ResourceLock(FIRST_FLEET)
   void minorityGivesUpItsShareBeforeTheMajorityTakesOver() throws Exception {
     RunResult result = run(74, 5, """
         [[links.faults]]
@@ -280,7 +271,6 @@
    * within T2. A node that gets too little CPU time must not mark others failed.
    */
   @Test
-  @ResourceLock(SECOND_FLEET)
   void brokenLinksFailNoNodeAndPausedNodeReturns() throws Exception {
     StringBuilder cpuStarvation = new StringBuilder();
     for (int i = 0; i < 12; i++) { // n0 runs for a third of every 0.9 s
@@ -335,7 +325,6 @@
    * complete run. Neither half may take over any share.
    */
   @Test
-  @ResourceLock(SECOND_FLEET)
   void equalHalvesTakeNothingOverUnderLoss() throws Exception {
     run(60, 6, NOISE + """
         [[links.faults]]
