--- a/review/standins-2/EdgeNode.java
+++ b/review/standins-2/EdgeNode.java
@@ -83,6 +83,11 @@
     }
   }
 
+  /** Sends a signal, such as STOP or CONT, to the node's process. */
+  void signal(String name) throws IOException, InterruptedException {
+    new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
+  }
+
   boolean isAlive() {
     return process.isAlive();
   }
