--- a/review/standins-2/DenialAfterWindow.java
+++ b/review/standins-2/DenialAfterWindow.java
@@ -30,7 +30,11 @@
   private static final double RESET_SHARE = 0.08;
   private static final int MAX_RETRIES = 3;
 
+  /** Of the first connection that an app server accepts; the next ones count up. */
+  private static final long FIRST_SERVER_SEED = 1_000;
+
   private final Case.Setup setup;
+  private final AtomicInteger connections = new AtomicInteger();
   private final Map<String, Long> firstMsByKey = new HashMap<>();
   private final Map<String, AtomicInteger> appliedByKey = new ConcurrentHashMap<>();
   private final AtomicInteger tries = new AtomicInteger();
@@ -141,7 +145,8 @@
   // ---- app servers
 
   private void serve(int server, Socket socket) throws IOException, InterruptedException {
-    SplittableRandom random = new SplittableRandom();
+    SplittableRandom random = new SplittableRandom(
+        FIRST_SERVER_SEED + connections.getAndIncrement());
     InputStream in = new java.io.BufferedInputStream(socket.getInputStream());
     while (true) {
       String[] words = (String[]) Resp.read(in);
--- a/review/standins-2/StandStillPipeline.java
+++ b/review/standins-2/StandStillPipeline.java
@@ -34,7 +34,11 @@
 
   private record Sent(String id, double atMs) {}
 
+  /** Of the first connection that an app server accepts; the next ones count up. */
+  private static final long FIRST_SERVER_SEED = 1_000;
+
   private final Case.Setup setup;
+  private final AtomicInteger connections = new AtomicInteger();
   private final boolean stops;
   private final boolean hangs;
   private volatile double hangUntilMs;
@@ -181,7 +185,8 @@
   // ---- app servers
 
   private void serve(int server, Socket socket) throws IOException, InterruptedException {
-    SplittableRandom random = new SplittableRandom();
+    SplittableRandom random = new SplittableRandom(
+        FIRST_SERVER_SEED + connections.getAndIncrement());
     InputStream in = new java.io.BufferedInputStream(socket.getInputStream());
     while (true) {
       String[] words = (String[]) Resp.read(in);
