--- a/src/main/java/saltlatch/lab/rig/Processes.java
+++ b/src/main/java/saltlatch/lab/rig/Processes.java
@@ -50,8 +50,9 @@
    * @param jvmFlags JVM flags of the {@code run} line in the deployment file
    * @param jar jar file that contains the nodes' main class
    * @param dir directory for the nodes' configurations and logs and for the run's histories
+   * @param prefix words in front of the command that starts a node; may be empty
    */
-  public record Program(List<String> jvmFlags, Path jar, Path dir) {
+  public record Program(List<String> jvmFlags, Path jar, Path dir, List<String> prefix) {
     private static final Pattern RUN = Pattern.compile("(?m)^run = \"exec java (.*?) -jar ");
 
     /**
@@ -68,7 +69,12 @@
         throw new IOException("expected a line run = \"exec java ... -jar ...\" in " + balancer);
       String tempDir = System.getenv().getOrDefault("TMPDIR", "/tmp");
       return new Program(List.of(runLine.group(1).replaceAll(" -XX:SharedArchiveFile=\\S+", "")
-          .replace("${TMPDIR:-/tmp}", tempDir).split(" ", 0)), jar, dir);
+          .replace("${TMPDIR:-/tmp}", tempDir).split(" ", 0)), jar, dir, List.of());
+    }
+
+    /** Returns a copy whose nodes are started by {@code WORDS java ...}. */
+    public Program withPrefix(List<String> words) {
+      return new Program(jvmFlags, jar, dir, words);
     }
   }
 
@@ -151,7 +157,8 @@
     Path config = program.dir.resolve("n" + node + ".json");
     Files.writeString(config, configs.apply(node, olderConfig).replace("\"listen\":\"127.0.0.1:0\"",
         "\"listen\":\"127.0.0.1:" + ports.get(node) + "\""));
-    List<String> command = new ArrayList<>(List.of("java"));
+    List<String> command = new ArrayList<>(program.prefix);
+    command.add("java");
     command.addAll(program.jvmFlags);
     command.addAll(List.of("-jar", program.jar.toString(), "serve"));
     ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(
