Bound the customers that a node records, and the sums of a round of gossip

Cause: QuotaManager kept each customer for a minute, however many came; their state filled the heap (OutOfMemoryError in SlotMap.put), and every housekeeping run and round of gossip visited all of them. Change: CustomerTable holds 8,192 customers; a new one takes the place of one not seen for long on which no request, charge or ceiling depends, and is rejected while there is none. GossipSelection keeps the newest 1,024 sums of a round.

--- a/src/main/java/saltlatch/policy/AdmissionControl.java
+++ b/src/main/java/saltlatch/policy/AdmissionControl.java
@@ -5,6 +5,8 @@
  * admission; it checks them in this order:
  * <ol>
  * <li>The client's timeout: a request whose timeout has passed is rejected.
+ * <li>The customer must be recorded: while {@link CustomerTable} has no room for another customer,
+ * the requests of new ones are rejected.
  * <li>The quota. While the counter is healthy, the total that the request's own counter call
  * returns decides: without this request, the window's count must be below the burst. If the
  * customer's window is exhausted, the available units that {@link QuotaManager} maintains decide
@@ -45,6 +47,8 @@
   void decideOrCallCounter(RequestState request, long now) {
     if (request.deadlineTicks <= now) {
       completion.rejectLate(request);
+    } else if (!quotas.isRecorded(request.customer)) {
+      completion.rejectWithoutCapacity(request);
     } else if (request.customer.plan.ratePerSecond() <= 0) {
       decide(request, true, now);
     } else {
--- a/src/main/java/saltlatch/policy/CustomerQuota.java
+++ b/src/main/java/saltlatch/policy/CustomerQuota.java
@@ -19,6 +19,9 @@
   long lastRequestAtTicks;
   QuotaWindow window;
 
+  // RequestTable: requests that are not released.
+  int openRequests;
+
   // AttemptTracker: attempts in flight.
   int inFlight;
 
--- a/src/main/java/saltlatch/policy/GossipSelection.java
+++ b/src/main/java/saltlatch/policy/GossipSelection.java
@@ -17,6 +17,12 @@
 final class GossipSelection {
   private record OwnUsage(WindowUsage usage, int firstNode, int nodeCount) {}
 
+  /**
+   * More than a node admits between two rounds of messages. Guards against ever new customers: each
+   * round visits all sums for each peer.
+   */
+  private static final int MAX_CHANGED_SUMS = 1_024;
+
   private final int ownIndex;
   private final int nodeCount;
   private final Map<Long, OwnUsage> changedByWindow = new LinkedHashMap<>(); // in order of change
@@ -26,10 +32,13 @@
     this.nodeCount = nodeCount;
   }
 
-  /** Records a sum that has changed since the last round of messages. */
+  /** Records a sum that has changed since the last round; the oldest makes room for it. */
   void put(long counterName, WindowUsage usage, int firstNode, int customerNodeCount) {
     changedByWindow.remove(counterName);
     changedByWindow.put(counterName, new OwnUsage(usage, firstNode, customerNodeCount));
+    if (changedByWindow.size() > MAX_CHANGED_SUMS) {
+      changedByWindow.remove(changedByWindow.keySet().iterator().next());
+    }
   }
 
   void clear() {
--- a/src/main/java/saltlatch/policy/QuotaManager.java
+++ b/src/main/java/saltlatch/policy/QuotaManager.java
@@ -41,7 +41,7 @@
   private final PooledShare pooledShare;
   private final CapacityFromGossip capacityFromGossip;
   private final long startedAtTicks;
-  private final SlotMap<CustomerQuota> customers = new SlotMap<>();
+  private final CustomerTable customers = new CustomerTable(this::mayRelease, this::released);
   private final SlotMap<QuotaWindow> windows = new SlotMap<>();
   private long now;
   private boolean membershipEnabled;
@@ -93,11 +93,29 @@
       boolean ceilingMayBeForgotten = HardCeiling.mayRelease(customer, now);
       boolean idle = now - customer.lastRequestAtTicks > IDLE_TICKS && customer.inFlight == 0;
       if (idle && ceilingMayBeForgotten) {
-        customers.release(customer.id);
+        customers.release(customer);
       }
     });
   }
 
+  /** Returns whether no request, charge or ceiling depends on the customer's state. */
+  private boolean mayRelease(CustomerQuota customer) {
+    boolean isCharged = customer.window == null
+        || (customer.window.calls.isEmpty() && customer.window.unsentUnits == 0);
+    return customer.openRequests == 0 && isCharged && HardCeiling.mayRelease(customer, now);
+  }
+
+  private void released(CustomerQuota customer) {
+    if (customer.window != null) {
+      windows.release(customer.window.counterName);
+    }
+  }
+
+  /** Returns whether the customer's usage is recorded; if not, none may be admitted. */
+  boolean isRecorded(CustomerQuota customer) {
+    return customers.contains(customer);
+  }
+
   /**
    * Processes a reply of the counter.
    *
@@ -153,13 +171,17 @@
         customer.nodeCount, window.admittedUnits);
   }
 
-  /** Returns the customer of an arriving request; the first request of a customer creates it. */
+  /**
+   * Returns the customer of an arriving request; the first request of a customer creates it. If
+   * there is no room for another customer, it is not recorded.
+   */
   CustomerQuota customerFor(GatewayEvent.RequestArrived arrival) {
     int nodeCount = Math.max(1,
         arrival.nodeCount() > 0 ? arrival.nodeCount() : settings.nodeCount());
     CustomerQuota customer = customers.find(arrival.customer());
     if (customer == null) {
-      customer = customers.put(arrival.customer(), newCustomer(arrival, nodeCount));
+      customer = newCustomer(arrival, nodeCount);
+      customers.add(customer);
     }
     customer.nodeCount = Math.max(customer.nodeCount, nodeCount);
     customer.lastRequestAtTicks = now;
--- a/src/main/java/saltlatch/policy/RequestTable.java
+++ b/src/main/java/saltlatch/policy/RequestTable.java
@@ -13,6 +13,7 @@
   private final List<RequestState> changed = new ArrayList<>();
 
   void add(RequestState request) {
+    request.customer.openRequests++;
     requests.put(request.arrival.requestId(), request);
   }
 
@@ -21,7 +22,9 @@
     return requests.find(requestId);
   }
 
+  /** Releases a request; must be called once for each. */
   void release(RequestState request) {
+    request.customer.openRequests--;
     requests.release(request.arrival.requestId());
   }
 
--- a/src/main/java/saltlatch/policy/SlotMap.java
+++ b/src/main/java/saltlatch/policy/SlotMap.java
@@ -46,6 +46,20 @@
     }
   }
 
+  int size() {
+    return slotById.size();
+  }
+
+  /** Returns the number of slots, with those that are free. */
+  int slotCount() {
+    return slots.size();
+  }
+
+  /** Returns the item in a slot, or null if the slot is free. */
+  T at(int slot) {
+    return slots.get(slot);
+  }
+
   void forEach(Consumer<T> action) {
     for (int i = 0; i < slots.size(); i++) {
       if (slots.get(i) != null) {
