Take the policy's time for a request off its connection's turn

Change: EventBatcher learns the mean time of an event and takes it off the turn of each arriving request. InputTurnsTest.laterWorkOfAMessageCounts fails without it.

--- a/src/main/java/saltlatch/node/ClientRequestHandler.java
+++ b/src/main/java/saltlatch/node/ClientRequestHandler.java
@@ -72,7 +72,7 @@
   private void addArrival(RequestContext context, int requestClass, int plan, long ageTicks) {
     ClientRequest request = context.request();
     history.requestArrived(context, ageTicks);
-    events.add(new GatewayEvent.RequestArrived(context.requestId(), requestClass, plan,
+    events.addArrival(new GatewayEvent.RequestArrived(context.requestId(), requestClass, plan,
         request.customer(), request.clientTimeoutMs() * Ticks.PER_MILLISECOND, request.units(),
         request.nodeCount(), request.firstNode(), request.retry(), ageTicks));
   }
--- a/src/main/java/saltlatch/node/EdgeNode.java
+++ b/src/main/java/saltlatch/node/EdgeNode.java
@@ -47,7 +47,8 @@
     history.started(configuration.settings().nodeCount());
     runtime = new NodeRuntime(vertx, loop, configuration, metrics, history);
     listener = new ClientListener(vertx, runtime.scheduler(), runtime.clientRequestHandler(),
-        metrics, configuration.resourceLimits().maxClientConnections(), runtime.memory());
+        metrics, configuration.resourceLimits().maxClientConnections(), runtime.memory(),
+        runtime.inputTurns());
   }
 
   private static VertxOptions options() {
--- a/src/main/java/saltlatch/node/EventBatcher.java
+++ b/src/main/java/saltlatch/node/EventBatcher.java
@@ -8,6 +8,7 @@
 import saltlatch.api.GatewayPolicy;
 import saltlatch.state.NodeMetrics;
 import saltlatch.state.NodeMetrics.Metric;
+import saltlatch.wire.transport.InputTurns;
 
 /**
  * Passes events to the policy, with all events of one event loop iteration in one batch in the
@@ -30,16 +31,22 @@
 
   private final EventLoopScheduler scheduler;
   private final StallDetector stalls;
+  /** Step of the mean time of an event; it averages about 20 batches. */
+  private static final double MEAN_STEP = 0.05;
+
+  private final InputTurns inputTurns;
   private final NodeMetrics metrics;
   private final Listener listener;
   private GatewayPolicy policy;
   private List<GatewayEvent> batch = new ArrayList<>();
   private boolean scheduled;
+  private double meanEventTicks; // that the policy takes for an event
 
-  EventBatcher(EventLoopScheduler scheduler, StallDetector stalls, NodeMetrics metrics,
-      Listener listener) {
+  EventBatcher(EventLoopScheduler scheduler, StallDetector stalls, InputTurns inputTurns,
+      NodeMetrics metrics, Listener listener) {
     this.scheduler = scheduler;
     this.stalls = stalls;
+    this.inputTurns = inputTurns;
     this.metrics = metrics;
     this.listener = listener;
   }
@@ -57,6 +64,16 @@
     scheduler.afterCurrentIteration(this::flush);
   }
 
+  /**
+   * Adds the arrival of a request, and takes the time that the policy is likely to need for it off
+   * the turn of the client's connection. Guards against a batch of so many requests that all other
+   * events wait.
+   */
+  void addArrival(GatewayEvent.RequestArrived arrival) {
+    inputTurns.addCost(meanEventTicks);
+    add(arrival);
+  }
+
   /** Returns whether a batch is scheduled for the end of this event loop iteration. */
   boolean isScheduled() {
     return scheduled;
@@ -77,8 +94,9 @@
     stalls.check();
     List<GatewayEvent> events = batch;
     batch = new ArrayList<>();
+    long startTicks = scheduler.now();
     try {
-      policy.handle(scheduler.now(), events);
+      policy.handle(startTicks, events);
     } catch (RuntimeException e) {
       // A fault of the policy fails the requests of this batch instead of ending the process.
       LOG.error("policy_failed events={}", events.size(), e);
@@ -87,5 +105,7 @@
     }
     listener.batchFinished();
     scheduler.updateWakeUp();
+    double eventTicks = (double) (scheduler.now() - startTicks) / events.size();
+    meanEventTicks += MEAN_STEP * (eventTicks - meanEventTicks);
   }
 }
--- a/src/main/java/saltlatch/node/NodeRuntime.java
+++ b/src/main/java/saltlatch/node/NodeRuntime.java
@@ -19,6 +19,7 @@
 import saltlatch.wire.counter.CounterClient;
 import saltlatch.wire.discovery.DiscoveryClient;
 import saltlatch.wire.peer.PeerSocket;
+import saltlatch.wire.transport.InputTurns;
 import saltlatch.wire.transport.Scheduler;
 
 /**
@@ -37,6 +38,7 @@
   private final NodeMemory memory;
   private final EventLoopScheduler scheduler;
   private final StallDetector stalls;
+  private final InputTurns inputTurns;
   private final EventBatcher events;
   private final InFlightRequests requests;
   private final ClientRequestHandler clientRequests;
@@ -60,7 +62,8 @@
     scheduler = new EventLoopScheduler(vertx, loop, this::checkStall);
     stalls = new StallDetector(scheduler::now, scheduler::wakeUpTicks, this::stallThresholdTicks,
         metrics, history);
-    events = new EventBatcher(scheduler, stalls, metrics, this);
+    inputTurns = new InputTurns(scheduler);
+    events = new EventBatcher(scheduler, stalls, inputTurns, metrics, this);
     memory = configuration.resourceLimits().newMemory(Runtime.getRuntime().maxMemory());
     requests = new InFlightRequests(memory.requests());
     FinalResponses responses = new FinalResponses(history);
@@ -97,6 +100,11 @@
     return memory;
   }
 
+  /** Returns the turns of the connections on the event loop. */
+  InputTurns inputTurns() {
+    return inputTurns;
+  }
+
   /** Returns the event loop's clock and timers. */
   Scheduler scheduler() {
     return scheduler;
--- a/src/main/java/saltlatch/wire/client/ClientListener.java
+++ b/src/main/java/saltlatch/wire/client/ClientListener.java
@@ -72,13 +72,13 @@
 
   /** Creates the listener; it accepts connections after {@link #listen} is called. */
   public ClientListener(Vertx vertx, Scheduler scheduler, Handler handler, NodeMetrics metrics,
-      int maxConnections, NodeMemory memory) {
+      int maxConnections, NodeMemory memory, InputTurns inputTurns) {
     this.scheduler = scheduler;
     this.handler = handler;
     this.metrics = metrics;
     this.maxConnections = maxConnections;
     this.memory = memory;
-    inputTurns = new InputTurns(scheduler);
+    this.inputTurns = inputTurns;
     // Guards against many clients that connect at once: if the backlog were short, the operating
     // system would also drop connections of other clients, which would retry after a second.
     server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true)
--- a/src/main/java/saltlatch/wire/transport/InputTurns.java
+++ b/src/main/java/saltlatch/wire/transport/InputTurns.java
@@ -32,7 +32,7 @@
 
   /** The time that one connection has for its messages. */
   public final class Turn {
-    private long endTicks;
+    private double endTicks;
 
     /** Returns whether another message may be processed; called after each one. */
     public boolean hasTime() {
@@ -79,7 +79,7 @@
   private final Turn turn = new Turn();
   private final ArrayDeque<Participant> firstTurns = new ArrayDeque<>();
   private final ArrayDeque<Participant> laterTurns = new ArrayDeque<>();
-  private long iterationTicks; // used by turns in this iteration
+  private double iterationTicks; // used by turns in this iteration
   private boolean iterationEndScheduled;
   private boolean roundScheduled;
   private long deferrals;
@@ -94,6 +94,15 @@
     return new Participant(processor);
   }
 
+  /**
+   * Takes time off the current turn for work that its message causes at the end of the iteration.
+   * May be called while a message is processed.
+   */
+  public void addCost(double ticks) {
+    turn.endTicks -= ticks;
+    iterationTicks += ticks;
+  }
+
   /** Returns how often messages had to wait for a turn since the start. */
   public long deferrals() {
     return deferrals;
--- a/src/test/java/saltlatch/wire/client/ClientListenerHarness.java
+++ b/src/test/java/saltlatch/wire/client/ClientListenerHarness.java
@@ -24,6 +24,7 @@
 import saltlatch.state.NodeMetrics;
 import saltlatch.state.RequestContext;
 import saltlatch.state.RequestContext.ResponseSink;
+import saltlatch.wire.transport.InputTurns;
 import saltlatch.wire.transport.ManualScheduler;
 
 /**
@@ -66,7 +67,7 @@
     scheduler = new ManualScheduler(vertx.getOrCreateContext());
     metrics = new NodeMetrics();
     listener = new ClientListener(vertx, scheduler, new ScriptedHandler(), metrics, MAX_CONNECTIONS,
-        memory);
+        memory, new InputTurns(scheduler));
     scheduler.runOnLoop(() -> listener.markReady());
     List<Future<?>> listening = new ArrayList<>();
     scheduler.runOnLoop(
--- a/src/test/java/saltlatch/wire/client/ClientListenerTest.java
+++ b/src/test/java/saltlatch/wire/client/ClientListenerTest.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import saltlatch.wire.transport.InputTurns;
 import saltlatch.wire.transport.ManualScheduler;
 
 /**
@@ -203,7 +204,7 @@
   @Test
   void pingBeforeReadyGetsAnError() throws Exception {
     ClientListener unreadyListener = new ClientListener(vertx, scheduler, new ScriptedHandler(),
-        metrics, MAX_CONNECTIONS, memory);
+        metrics, MAX_CONNECTIONS, memory, new InputTurns(scheduler));
     List<Future<?>> listening = new ArrayList<>();
     scheduler.runOnLoop(() -> listening
         .add(unreadyListener.listen(SocketAddress.inetSocketAddress(0, "127.0.0.1"))));
--- a/src/test/java/saltlatch/wire/transport/InputTurnsTest.java
+++ b/src/test/java/saltlatch/wire/transport/InputTurnsTest.java
@@ -25,6 +25,7 @@
     final String name;
     final long costTicks;
     int messages;
+    double laterTicks; // of each message's work at the end of the iteration
     final InputTurns.Participant participant = turns.join(this::process);
 
     Connection(String name, long costTicks) {
@@ -42,6 +43,7 @@
         messages--;
         processed.add(name);
         scheduler.spend(costTicks);
+        turns.addCost(laterTicks);
         if (messages > 0 && !turn.hasTime()) return true;
       }
       return false;
@@ -120,6 +122,16 @@
     assertEquals(1, takeProcessed().size());
   }
 
+  /** Guards against many requests in one iteration whose work is done at its end. */
+  @Test
+  void laterWorkOfAMessageCounts() throws Exception {
+    List<Connection> flood = new ArrayList<>();
+    for (int i = 0; i < 9; i++) flood.add(new Connection("flood", 0));
+    for (Connection connection : flood) connection.laterTicks = 2.5;
+    scheduler.runOnLoop(() -> flood.forEach(connection -> connection.receive(9)));
+    assertEquals(4, takeProcessed().size());
+  }
+
   @Test
   void aClosedConnectionGetsNoTurn() throws Exception {
     Connection connection = new Connection("a", TURN_TICKS);
