Order waiting connections by fair queueing instead of rounds through all of them

Cause: a usual connection that had once waited stayed in the queue behind all that flood until a round came to it. Change: start-time fair queueing. A connection that sends more than fits into a turn or a read advances in virtual time; one that sends little begins at the present virtual time, ahead of the others. InputTurnsTest.aConnectionThatHasUsedItsTurnWaitsForTheOthers and aConnectionWithoutATurnYetGoesFirst.

--- a/src/main/java/saltlatch/wire/client/ClientConnection.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnection.java
@@ -227,11 +227,11 @@
     long nowTicks = listener.scheduler().now();
     if (decoder.isEmpty()) lastUsedTicks = nowTicks;
     decoder.feed(received);
+    boolean readAll = received.length() < ClientInput.READ_BYTES;
     arrivals.received(received.length(), nowTicks - TcpConnectionInfo.ticksSinceLastReceive(socket),
-        listener.handler().unattendedSinceTicks(nowTicks), nowTicks,
-        received.length() < ClientInput.READ_BYTES);
+        listener.handler().unattendedSinceTicks(nowTicks), nowTicks, readAll);
     hasBacklog = true;
-    turns.messagesReceived();
+    turns.bytesReceived(!readAll);
     updateReading();
   }
 
@@ -297,7 +297,7 @@
   void flushReplies() {
     if (closed || processingInput) return;
     writeReadyReplies();
-    if (hasBacklog && hasRoomForReply()) turns.messagesReceived();
+    if (hasBacklog && hasRoomForReply()) turns.proceed();
     updateReading();
     lingerIfFinished();
   }
--- a/src/main/java/saltlatch/wire/transport/InputTurns.java
+++ b/src/main/java/saltlatch/wire/transport/InputTurns.java
@@ -1,19 +1,21 @@
 package saltlatch.wire.transport;
 
-import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.PriorityQueue;
 import saltlatch.api.Ticks;
 
 /**
- * Divides the event loop's time among the connections that have received messages. A connection is
- * processed as soon as its bytes are read, for at most {@link #TURN_TICKS}; all connections together
- * get at most {@link #ITERATION_TICKS} in an iteration of the loop. What is left waits in a queue,
- * of which a part is processed at each round, a timer later. Guards against connections that send at
- * full speed, whatever a message costs: their messages would be processed in one iteration, and
- * timers, replies and all other connections would wait for seconds.
+ * Divides the event loop's time among the connections that have received messages, by start-time
+ * fair queueing. A connection is processed as soon as its bytes are read, for at most
+ * {@link #TURN_TICKS}; all connections together get at most {@link #ITERATION_TICKS} in an iteration
+ * of the loop. What is left waits in a queue, of which a part is processed at each round, a timer
+ * later. Guards against connections that send at full speed, whatever a message costs: their
+ * messages would be processed in one iteration, and timers, replies and all other connections would
+ * wait for seconds.
  *
- * <p>Connections that have not had a turn since they began to wait go before the others, so that one
- * that sends little does not wait for those that send without end. A connection leaves the queue
- * only after a round without a message from it; until then its bytes wait for its next turn.
+ * <p>The queue is ordered by virtual time, in which a connection that sends more than fits into a
+ * turn advances by the time that its turns take. One that sends little begins at the present virtual
+ * time, ahead of those that send without end, however many these are.
  *
  * <p>A turn ends between two messages, so it exceeds its time by one message at most. Owned by the
  * event loop.
@@ -43,25 +45,39 @@
   /** A connection's place among all others. */
   public final class Participant {
     private final Processor processor;
-    private boolean queued;
-    private boolean hasInput; // received bytes since the last turn, or that turn was too short
+    private double startTicks; // virtual time at which its next turn begins
+    private long sequence; // orders those with the same start
+    private boolean moreUnread;
+    private boolean sendsMuch; // in the latest turn: more than its time or one read could take
+    private boolean waiting;
     private boolean closed;
 
     private Participant(Processor processor) {
       this.processor = processor;
     }
 
-    /** Processes messages, now or in a later turn; called when some may be complete. */
-    public void messagesReceived() {
-      hasInput = true;
-      if (queued || closed) return;
-      if (iterationTicks >= ITERATION_TICKS) enqueue(this, firstTurns);
-      else if (run(this)) enqueue(this, laterTurns);
+    /**
+     * Processes messages, now or in a later turn; called when bytes were read.
+     *
+     * @param moreMayBeUnread whether the read may have left bytes in the operating system
+     */
+    public void bytesReceived(boolean moreMayBeUnread) {
+      moreUnread = moreMayBeUnread;
+      proceed();
+    }
+
+    /** Processes messages, now or in a later turn; called when some may be processed again. */
+    public void proceed() {
+      if (waiting || closed) return;
+      startTicks = Math.max(startTicks, virtualTicks);
+      boolean isFirst = queue.isEmpty() || startTicks <= virtualTicks;
+      if (!isFirst || iterationTicks >= ITERATION_TICKS) enqueue(this);
+      else takeTurn(this);
     }
 
     /** Returns whether received messages wait for a turn. */
     public boolean isWaiting() {
-      return queued && hasInput && !closed;
+      return waiting && !closed;
     }
 
     /** Takes no further turn. */
@@ -72,13 +88,17 @@
 
   private static final long TURN_TICKS = Ticks.PER_MILLISECOND / 2;
   private static final long ITERATION_TICKS = Ticks.PER_MILLISECOND;
+  /** A turn in which the process lost its core seems to be far longer than it was. */
+  private static final double MAX_CHARGE_TICKS = 2 * TURN_TICKS;
   /** Lets the loop wait for other events, and other processes use the core, between two rounds. */
   private static final long ROUND_INTERVAL_TICKS = Ticks.PER_MILLISECOND;
 
   private final Scheduler scheduler;
   private final Turn turn = new Turn();
-  private final ArrayDeque<Participant> firstTurns = new ArrayDeque<>();
-  private final ArrayDeque<Participant> laterTurns = new ArrayDeque<>();
+  private final PriorityQueue<Participant> queue = new PriorityQueue<>(Comparator
+      .<Participant>comparingDouble(waiting -> waiting.startTicks)
+      .thenComparing(waiting -> waiting.sendsMuch).thenComparingLong(waiting -> waiting.sequence));
+  private double virtualTicks; // the start of the latest turn
   private double iterationTicks; // used by turns in this iteration
   private boolean iterationEndScheduled;
   private boolean roundScheduled;
@@ -108,14 +128,18 @@
     return deferrals;
   }
 
-  private boolean run(Participant participant) {
+  private void takeTurn(Participant participant) {
     scheduleIterationEnd();
-    long startTicks = scheduler.now();
-    turn.endTicks = startTicks + TURN_TICKS;
-    participant.hasInput = false;
-    participant.hasInput |= participant.processor.processMessages(turn);
-    iterationTicks += scheduler.now() - startTicks;
-    return participant.hasInput;
+    virtualTicks = participant.startTicks;
+    long beganTicks = scheduler.now();
+    double usedBefore = iterationTicks;
+    turn.endTicks = (double) beganTicks + TURN_TICKS;
+    boolean isUnfinished = participant.processor.processMessages(turn);
+    participant.sendsMuch = isUnfinished || participant.moreUnread;
+    iterationTicks += scheduler.now() - beganTicks;
+    if (participant.sendsMuch)
+      participant.startTicks += Math.min(MAX_CHARGE_TICKS, iterationTicks - usedBefore);
+    if (isUnfinished) enqueue(participant);
   }
 
   private void scheduleIterationEnd() {
@@ -127,39 +151,27 @@
     });
   }
 
-  private void enqueue(Participant participant, ArrayDeque<Participant> queue) {
+  private void enqueue(Participant participant) {
     deferrals++;
-    participant.queued = true;
+    participant.waiting = true;
+    participant.sequence = deferrals;
     queue.add(participant);
-    scheduleRound();
-  }
-
-  private void scheduleRound() {
     if (roundScheduled) return;
     roundScheduled = true;
     scheduler.scheduleAt(scheduler.now() + ROUND_INTERVAL_TICKS, this::runRound);
   }
 
-  private void runRound() {
-    roundScheduled = false;
-    runTurns();
-    if (!firstTurns.isEmpty() || !laterTurns.isEmpty()) scheduleRound();
-  }
-
   /** Gives each waiting connection one turn at most, and one of them a turn in any case. */
-  private void runTurns() {
-    int turnsLeft = firstTurns.size() + laterTurns.size();
+  private void runRound() {
+    int turnsLeft = queue.size();
     do {
-      takeTurn(firstTurns.isEmpty() ? laterTurns.poll() : firstTurns.poll());
+      Participant next = queue.poll();
+      next.waiting = false;
+      if (!next.closed) takeTurn(next);
       turnsLeft--;
     } while (turnsLeft > 0 && iterationTicks < ITERATION_TICKS);
-  }
-
-  private void takeTurn(Participant participant) {
-    boolean stays = participant.hasInput && !participant.closed;
-    participant.queued = stays;
-    if (!stays) return;
-    laterTurns.add(participant);
-    run(participant);
+    roundScheduled = !queue.isEmpty();
+    if (roundScheduled)
+      scheduler.scheduleAt(scheduler.now() + ROUND_INTERVAL_TICKS, this::runRound);
   }
 }
--- a/src/test/java/saltlatch/wire/transport/InputTurnsTest.java
+++ b/src/test/java/saltlatch/wire/transport/InputTurnsTest.java
@@ -25,6 +25,7 @@
     final String name;
     final long costTicks;
     int messages;
+    boolean moreUnread;
     double laterTicks; // of each message's work at the end of the iteration
     final InputTurns.Participant participant = turns.join(this::process);
 
@@ -35,7 +36,7 @@
 
     void receive(int count) {
       messages += count;
-      participant.messagesReceived();
+      participant.bytesReceived(moreUnread);
     }
 
     private boolean process(InputTurns.Turn turn) {
@@ -111,6 +112,22 @@
     assertEquals(List.of(), takeProcessed());
     scheduler.advance(ROUND_TICKS);
     assertEquals("usual", takeProcessed().get(0));
+    scheduler.runOnLoop(() -> usual.receive(1));
+    assertEquals(List.of("usual"), takeProcessed());
+  }
+
+  /** Guards against a connection that sends without end, and gets turns for its new bytes first. */
+  @Test
+  void aConnectionThatHasUsedItsTurnWaitsForTheOthers() throws Exception {
+    Connection first = new Connection("first", TURN_TICKS);
+    Connection second = new Connection("second", TURN_TICKS);
+    first.moreUnread = true;
+    scheduler.runOnLoop(() -> first.receive(1));
+    scheduler.runOnLoop(() -> second.receive(2));
+    scheduler.runOnLoop(() -> first.receive(1));
+    assertEquals(List.of("first", "second"), takeProcessed());
+    scheduler.advance(ROUND_TICKS);
+    assertEquals(List.of("second", "first"), takeProcessed());
   }
 
   /** Guards against a connection that gets an extra turn with every read. */
