DiscoveryClient: pause after a millisecond of work, not only after 32 KiB

Change: the time spent on received bytes is counted too, in chunks of 2 KiB. readingPausesAfterAMillisecondOfWork fails without it.

--- a/src/main/java/saltlatch/wire/discovery/DiscoveryClient.java
+++ b/src/main/java/saltlatch/wire/discovery/DiscoveryClient.java
@@ -51,7 +51,9 @@
   private static final long SILENCE_TIMEOUT_TICKS = 4_500 * Ticks.PER_MILLISECOND;
   // The agent runs on this machine: it answers at once, or it is down.
   private static final long BEGIN_TIMEOUT_TICKS = 2 * Ticks.PER_SECOND;
-  private static final int MAX_BYTES_WITHOUT_PAUSE = 32 << 10; // decoded in about 1 ms
+  private static final int MAX_BYTES_WITHOUT_PAUSE = 32 << 10;
+  private static final long MAX_TICKS_WITHOUT_PAUSE = Ticks.PER_MILLISECOND;
+  private static final int MAX_CHUNK_BYTES = 2 << 10; // parsed without a look at the clock
   private static final long READ_PAUSE_TICKS = Ticks.PER_MILLISECOND;
   private static final int STATUS_OK = 200;
 
@@ -66,6 +68,7 @@
   private int listsBeingApplied;
   private Runnable pendingOpening; // opens the watch that waits for these lists; null: none waits
   private int bytesSincePause;
+  private long ticksSincePause; // spent on received bytes
   private HttpClientRequest request; // of the open watch; null: none
   // opens the watch when due, or ends it if its first or next line is late; null: no watch
   private TimerQueue.Timer timeout;
@@ -134,7 +137,7 @@
     if (client == null) {
       client = vertx.createHttpClient(new HttpClientOptions()
           .setConnectTimeout((int) (BEGIN_TIMEOUT_TICKS / Ticks.PER_MILLISECOND))
-          .setDecompressionSupported(false).setIdleTimeout(0));
+          .setMaxChunkSize(MAX_CHUNK_BYTES).setDecompressionSupported(false).setIdleTimeout(0));
     }
     return client;
   }
@@ -152,13 +155,16 @@
       return;
     }
     EndpointListParser parser = new EndpointListParser();
-    bytesSincePause = 0;
+    startAfterPause();
     response.exceptionHandler(e -> end(watch, e));
     response.endHandler(v -> end(watch, null));
     response.handler(received -> {
       if (watch != currentWatch) return;
+      long startTicks = scheduler.now();
       parse(parser, received, watch);
-      if (watch == currentWatch) pauseAfterMaxBytes(response, received.length(), watch);
+      bytesSincePause += received.length();
+      ticksSincePause += scheduler.now() - startTicks;
+      if (watch == currentWatch) pauseIfDue(response, watch);
     });
   }
 
@@ -183,19 +189,26 @@
   }
 
   /**
-   * Pauses reading after every {@link #MAX_BYTES_WITHOUT_PAUSE} bytes, so that the event loop can
-   * do other work. Guards against a long list that blocks the loop until requests time out.
+   * Pauses reading after {@link #MAX_TICKS_WITHOUT_PAUSE} of work or
+   * {@link #MAX_BYTES_WITHOUT_PAUSE}, so that the event loop can do other work. Guards against a
+   * long list, or very many short ones, that block the loop until requests time out.
    */
-  private void pauseAfterMaxBytes(HttpClientResponse response, int bytes, int watch) {
-    bytesSincePause += bytes;
-    if (bytesSincePause < MAX_BYTES_WITHOUT_PAUSE) return;
-    bytesSincePause = 0;
+  private void pauseIfDue(HttpClientResponse response, int watch) {
+    boolean isDue = bytesSincePause >= MAX_BYTES_WITHOUT_PAUSE
+        || ticksSincePause >= MAX_TICKS_WITHOUT_PAUSE;
+    if (!isDue) return;
+    startAfterPause();
     response.pause();
     scheduler.scheduleAt(scheduler.now() + READ_PAUSE_TICKS, () -> {
       if (watch == currentWatch) response.resume();
     });
   }
 
+  private void startAfterPause() {
+    bytesSincePause = 0;
+    ticksSincePause = 0;
+  }
+
   private void refuse(String reason, int watch) {
     long backoffTicks = pacing.listRefused(scheduler.now());
     metrics.add(Metric.ENDPOINT_LISTS_TOO_LARGE);
--- a/src/test/java/saltlatch/wire/discovery/DiscoveryClientTest.java
+++ b/src/test/java/saltlatch/wire/discovery/DiscoveryClientTest.java
@@ -59,6 +59,7 @@
     @Override
     public void endpointsReceived(EndpointList list, Runnable applied) {
       events.add("listed " + list.series() + "/" + list.index());
+      scheduler.now += listTicks;
       if (appliesImmediately) applied.run();
       else pendingApplications.add(applied);
     }
@@ -76,6 +77,7 @@
   private final ManualScheduler scheduler = new ManualScheduler();
   private final NodeMetrics metrics = new NodeMetrics();
   private volatile boolean appliesImmediately = true;
+  private volatile long listTicks; // that the listener takes for a list
   private Vertx vertx;
   private Context loop;
   private ServerSocket agent;
@@ -153,6 +155,17 @@
         + "x".repeat(EndpointListParser.MAX_PART_BYTES);
   }
 
+  /** Guards against an agent that sends short lists at full speed, each of which costs time. */
+  @Test
+  void readingPausesAfterAMillisecondOfWork() throws Exception {
+    listTicks = 10;
+    acceptWatch(0, "since=1", list(0, 2, true));
+    assertEvents("listed 0/2", "at 45000", "at 10");
+    advance(10);
+    writeChunk(list(0, 3, false));
+    assertEvents("listed 0/3", "at 45000", "at 10");
+  }
+
   /**
    * Lists that are too large are requested at intervals that grow up to 5 min. A list that can be
    * accepted ends the backoff, as does the address of another agent.
