--- a/src/main/java/saltlatch/cli/LabCommand.java
+++ b/src/main/java/saltlatch/cli/LabCommand.java
@@ -19,7 +19,7 @@
  * the run file and its report. With {@code --processes} each node is a child process.
  */
 @Command(name = "lab", mixinStandardHelpOptions = true,
-    subcommands = {ScaleCommand.class, HollowCommand.class, FloodCommand.class},
+    subcommands = {ScaleCommand.class, HollowCommand.class, FloodCommand.class, SoakCommand.class},
     description = "Run a scenario against K real edge nodes in this process; write RUN.json and RUN.html.")
 final class LabCommand implements Callable<Integer> {
   private static final int MAX_PRINTED_VIOLATIONS = 20; // the run file has all of them
--- /dev/null
+++ b/src/main/java/saltlatch/lab/soak/SoakRun.java
@@ -0,0 +1,145 @@
+package saltlatch.lab.soak;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import saltlatch.lab.clock.LabClock;
+import saltlatch.lab.emulator.Emulator;
+import saltlatch.lab.plan.Timeline.Action;
+import saltlatch.lab.rig.Processes;
+import saltlatch.lab.scenario.Scenario;
+
+/**
+ * One run of a seed: three node processes, of which one after another is ended by signals in series
+ * and killed at the earliest time that the protocol allows, while clients use their connections
+ * until then. Some app servers hang meanwhile, and in every third seed a crowd of idle clients takes
+ * up the node's connections.
+ */
+public final class SoakRun {
+  private static final int NODES = 3;
+  private static final int ROUNDS = 2;
+  private static final int CLIENTS = 24;
+  private static final int CROWD_CONNECTIONS = 400;
+  private static final int CROWD_SEEDS = 3;
+  private static final long MAX_DEADLINE_MS = 2_000;
+  /** From the end of the longest deadline after SIGTERM to SIGKILL. */
+  private static final long KILL_MARGIN_MS = 700;
+  private static final long MAX_STEP_MS = 1_000;
+  private static final long SETTLE_MS = 1_500;
+  private static final String SCENARIO = """
+      name = "soak"
+      seed = %d
+      nodes = %d
+      [servers]
+      count = 8
+      median_ms = 40
+      p99_ms = 200
+      [[servers.faults]]
+      kind = "pause"
+      at_s = %d
+      for_s = 3
+      first = 0
+      count = 2
+      [counter]
+      latency_ms = 1
+      [plan]
+      rate = 200
+      burst = 800
+      aim_ms = 500
+      deadline_ms = %d
+      """;
+
+  private final long seed;
+  private final SplittableRandom random;
+  private final List<String> violations = Collections.synchronizedList(new ArrayList<>());
+  private final List<Socket> crowd = new ArrayList<>();
+  private Processes nodes;
+
+  private SoakRun(long seed) {
+    this.seed = seed;
+    random = new SplittableRandom(seed);
+  }
+
+  /** What a run saw: how many requests got an answer, and a line for each that did not. */
+  public record Result(long seed, int answered, List<String> violations) {
+    @Override
+    public String toString() {
+      return "seed " + seed + ": " + answered + " answered, " + violations.size() + " lost "
+          + violations;
+    }
+  }
+
+  /** Runs a seed with the built program. */
+  public static Result run(Processes.Program program, long seed) throws Exception {
+    return new SoakRun(seed).run(program);
+  }
+
+  private Result run(Processes.Program program) throws Exception {
+    String scenario = String.format(Locale.ROOT, SCENARIO, seed, NODES, 1 + random.nextInt(4),
+        MAX_DEADLINE_MS);
+    Emulator emulator = new Emulator(Scenario.parse(scenario), new LabClock());
+    emulator.start().toCompletionStage().toCompletableFuture().get();
+    try (Processes processes = new Processes(program, (node, old) -> emulator.nodeConfig(node))) {
+      nodes = processes;
+      nodes.start(NODES);
+      int answered = runClients();
+      return new Result(seed, answered, List.copyOf(violations));
+    } finally {
+      for (Socket connection : crowd) connection.close();
+      emulator.stop().toCompletionStage().toCompletableFuture().get();
+    }
+  }
+
+  private int runClients() throws Exception {
+    List<SoakClient> clients = new ArrayList<>();
+    List<Thread> threads = new ArrayList<>();
+    for (int i = 0; i < CLIENTS; i++) {
+      SoakClient client = new SoakClient("s" + seed + "c" + i, nodes.ports(), MAX_DEADLINE_MS,
+          random.split(), violations::add);
+      clients.add(client);
+      threads.add(new Thread(client, "soak-client"));
+    }
+    threads.forEach(Thread::start);
+    for (int round = 0; round < ROUNDS; round++) endNode(random.nextInt(NODES));
+    clients.forEach(SoakClient::stop);
+    for (Thread thread : threads) thread.join();
+    return clients.stream().mapToInt(SoakClient::answered).sum();
+  }
+
+  private void endNode(int node) throws Exception {
+    List<Integer> target = List.of(node);
+    Thread.sleep(random.nextLong(MAX_STEP_MS));
+    if (seed % CROWD_SEEDS == 0) openCrowd(nodes.ports().get(node));
+    if (random.nextBoolean()) sendReload(node);
+    long terminatedNanos = System.nanoTime();
+    nodes.apply(Action.TERM, target);
+    Thread.sleep(random.nextLong(MAX_STEP_MS));
+    nodes.apply(Action.TERM, target);
+    if (random.nextBoolean()) sendReload(node);
+    long killNanos = terminatedNanos
+        + TimeUnit.MILLISECONDS.toNanos(MAX_DEADLINE_MS + KILL_MARGIN_MS);
+    TimeUnit.NANOSECONDS.sleep(killNanos - System.nanoTime());
+    nodes.apply(Action.KILL, target);
+    nodes.apply(Action.START, target);
+    Thread.sleep(SETTLE_MS);
+  }
+
+  private void openCrowd(int port) {
+    try {
+      for (int i = 0; i < CROWD_CONNECTIONS; i++)
+        crowd.add(new Socket(InetAddress.getLoopbackAddress(), port));
+    } catch (IOException e) {
+      // the node's backlog is full: the crowd is as large as it gets
+    }
+  }
+
+  private void sendReload(int node) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-HUP", Long.toString(nodes.pid(node))).start().waitFor();
+  }
+}
