--- a/src/main/java/saltlatch/lab/flood/UsualClients.java
+++ b/src/main/java/saltlatch/lab/flood/UsualClients.java
@@ -174,8 +174,8 @@
   }
 
   @Override
-  public void close() throws Exception {
+  public void close() {
     stopped = true;
-    vertx.close().toCompletionStage().toCompletableFuture().get();
+    vertx.close().toCompletionStage().toCompletableFuture().join();
   }
 }
--- a/src/main/java/saltlatch/lab/soak/SoakClient.java
+++ b/src/main/java/saltlatch/lab/soak/SoakClient.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -13,8 +14,8 @@
 
 /**
  * A client that sends one request after another on its connection for as long as the node keeps it
- * open, and then on a new connection to any node. A request whose connection ends is sent once more,
- * since the node may not have read it. Runs on a thread of its own.
+ * open, and then on a new connection to any node. A request whose connection ends is sent once
+ * more, since the node may not have read it. Runs on a thread of its own.
  */
 final class SoakClient implements Runnable {
   private static final long MIN_DEADLINE_MS = 600;
@@ -25,6 +26,7 @@
 
   private final String name;
   private final List<Integer> ports;
+  private final Set<Integer> leavingPorts;
   private final SplittableRandom random;
   private final long maxDeadlineMs;
   private final Consumer<String> violations;
@@ -37,14 +39,16 @@
   /**
    * Creates a client.
    *
+   * @param leavingPorts those of nodes to which no new connection is opened
    * @param violations receives a line for each request without an answer in time
    */
   SoakClient(String name, List<Integer> ports, long maxDeadlineMs, SplittableRandom random,
-      Consumer<String> violations) {
+      Set<Integer> leavingPorts, Consumer<String> violations) {
     this.name = name;
     this.ports = ports;
     this.maxDeadlineMs = maxDeadlineMs;
     this.random = random;
+    this.leavingPorts = leavingPorts;
     this.violations = violations;
   }
 
@@ -72,9 +76,10 @@
     }
   }
 
-  /** Connects to any node; there is no connection after it if that node refuses. */
+  /** Connects to any node that takes connections; there is none after it if that one refuses. */
   private void connect() throws InterruptedException {
-    connectedPort = ports.get(random.nextInt(ports.size()));
+    List<Integer> open = ports.stream().filter(port -> !leavingPorts.contains(port)).toList();
+    connectedPort = open.get(random.nextInt(open.size()));
     try {
       connection = new Socket(InetAddress.getLoopbackAddress(), connectedPort);
       connection.setTcpNoDelay(true);
@@ -123,7 +128,7 @@
     return text.toString();
   }
 
-  /** Returns null after an answer, otherwise how the exchange ended; the connection is closed then. */
+  /** Returns null after an answer, otherwise how the exchange and its connection ended. */
   private String exchange(String command, long endNanos) {
     try {
       connection.getOutputStream().write(command.getBytes(StandardCharsets.ISO_8859_1));
--- a/src/main/java/saltlatch/wire/client/ClientConnection.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnection.java
@@ -308,8 +308,8 @@
   }
 
   /**
-   * Returns whether another command may be processed. Guards against a client that reads replies too
-   * slowly or not at all.
+   * Returns whether another command may be processed. Guards against a client that reads replies
+   * too slowly or not at all.
    */
   private boolean hasRoomForReply() {
     if (replies.size() >= MAX_PENDING_REPLIES) writeReadyReplies();
--- a/src/main/java/saltlatch/wire/transport/InputTurns.java
+++ b/src/main/java/saltlatch/wire/transport/InputTurns.java
@@ -7,15 +7,15 @@
 /**
  * Divides the event loop's time among the connections that have received messages, by start-time
  * fair queueing. A connection is processed as soon as its bytes are read, for at most
- * {@link #TURN_TICKS}; all connections together get at most {@link #ITERATION_TICKS} in an iteration
- * of the loop. What is left waits in a queue, of which a part is processed at each round, a timer
- * later. Guards against connections that send at full speed, whatever a message costs: their
- * messages would be processed in one iteration, and timers, replies and all other connections would
- * wait for seconds.
+ * {@link #TURN_TICKS}; all connections together get at most {@link #ITERATION_TICKS} in an
+ * iteration of the loop. What is left waits in a queue, of which a part is processed at each round,
+ * a timer later. Guards against connections that send at full speed, whatever a message costs:
+ * their messages would be processed in one iteration, and timers, replies and all other connections
+ * would wait for seconds.
  *
  * <p>The queue is ordered by virtual time, in which a connection that sends more than fits into a
- * turn advances by the time that its turns take. One that sends little begins at the present virtual
- * time, ahead of those that send without end, however many these are.
+ * turn advances by the time that its turns take. One that sends little begins at the present
+ * virtual time, ahead of those that send without end, however many these are.
  *
  * <p>A turn ends between two messages, so it exceeds its time by one message at most. Owned by the
  * event loop.
--- a/src/test/java/saltlatch/wire/client/LongInputTest.java
+++ b/src/test/java/saltlatch/wire/client/LongInputTest.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import saltlatch.wire.transport.ManualScheduler;
 
 /** One client sends more commands at once than fit into its turn on the event loop. */
 class LongInputTest extends ClientListenerHarness {
