Commands that were read never wait for room, and a failing one stops no others

An exception in a turn of the queue would have ended all further rounds. Change: what was read is processed as far as the turn goes, as before the turns; reading alone stops at 64. The wait for answers ends when reading resumes, and is left out then. A turn that fails is tried again behind the others.

--- a/src/main/java/saltlatch/wire/client/ClientConnection.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnection.java
@@ -52,6 +52,7 @@
   private boolean closed; // or lingering; no more input is parsed and no more replies are written
   private boolean processingInput; // commands are being processed
   private boolean hasBacklog; // complete commands may be in the decoder
+  private boolean waitsForAnswers; // reading was stopped because too many replies are unsent
   private boolean hasSentCommand;
   private boolean hasReadSinceStop; // while this side is about to close the connection
   // time of the accept, of the last complete command, or of the first byte of the next command
@@ -247,7 +248,7 @@
   private boolean processCommands(InputTurns.Turn turn) {
     processingInput = true;
     try {
-      while (hasBacklog && hasRoomForReply()) {
+      while (hasBacklog) {
         hasBacklog = processNext();
         if (hasBacklog && !turn.hasTime()) return true;
       }
@@ -297,7 +298,6 @@
   void flushReplies() {
     if (closed || processingInput) return;
     writeReadyReplies();
-    if (hasBacklog && hasRoomForReply()) turns.proceed();
     updateReading();
     lingerIfFinished();
   }
@@ -308,25 +308,25 @@
   }
 
   /**
-   * Returns whether another command may be processed. Guards against a client that reads replies
-   * too slowly or not at all.
+   * Reads only while what was read is processed and its replies can be sent. Guards against a
+   * client that reads replies too slowly or not at all.
    */
-  private boolean hasRoomForReply() {
-    if (replies.size() >= MAX_PENDING_REPLIES) writeReadyReplies();
-    return replies.size() < MAX_PENDING_REPLIES && !socket.writeQueueFull();
-  }
-
-  /** Reads only while received commands are processed at once and their replies can be sent. */
   private void updateReading() {
     if (closed) return;
-    if (framingLost || hasBacklog || !hasRoomForReply()) stopReading();
-    else input.resume();
+    boolean hasRoom = replies.size() < MAX_PENDING_REPLIES && !socket.writeQueueFull();
+    if (framingLost || hasBacklog || !hasRoom) stopReading(hasBacklog);
+    else resumeReading();
   }
 
-  private void stopReading() {
-    long nowTicks = listener.scheduler().now();
-    if (turns.isWaiting()) arrivals.readingStopped(nowTicks);
-    else arrivals.waitedForAnswers(nowTicks);
+  private void stopReading(boolean forTurn) {
+    if (forTurn) arrivals.readingStopped(listener.scheduler().now());
+    else waitsForAnswers = true;
     input.stop();
   }
+
+  private void resumeReading() {
+    if (waitsForAnswers) arrivals.waitedForAnswers(listener.scheduler().now());
+    waitsForAnswers = false;
+    input.resume();
+  }
 }
--- a/src/main/java/saltlatch/wire/transport/InputTurns.java
+++ b/src/main/java/saltlatch/wire/transport/InputTurns.java
@@ -24,8 +24,8 @@
   /** Processes the received messages of one connection. */
   public interface Processor {
     /**
-     * Processes complete messages in their order until none is left, none may be processed now, or
-     * the turn is over. At least one message may be processed.
+     * Processes complete messages in their order until none is left or the turn is over. At least
+     * one message may be processed.
      *
      * @return whether the turn ended before the messages did
      */
@@ -63,11 +63,6 @@
      */
     public void bytesReceived(boolean moreMayBeUnread) {
       moreUnread = moreMayBeUnread;
-      proceed();
-    }
-
-    /** Processes messages, now or in a later turn; called when some may be processed again. */
-    public void proceed() {
       if (waiting || closed) return;
       startTicks = Math.max(startTicks, virtualTicks);
       boolean isFirst = queue.isEmpty() || startTicks <= virtualTicks;
@@ -134,12 +129,16 @@
     long beganTicks = scheduler.now();
     double usedBefore = iterationTicks;
     turn.endTicks = (double) beganTicks + TURN_TICKS;
-    boolean isUnfinished = participant.processor.processMessages(turn);
-    participant.sendsMuch = isUnfinished || participant.moreUnread;
-    iterationTicks += scheduler.now() - beganTicks;
-    if (participant.sendsMuch)
-      participant.startTicks += Math.min(MAX_CHARGE_TICKS, iterationTicks - usedBefore);
-    if (isUnfinished) enqueue(participant);
+    boolean isUnfinished = true; // also if a message fails: those behind it are processed later
+    try {
+      isUnfinished = participant.processor.processMessages(turn);
+    } finally {
+      iterationTicks += scheduler.now() - beganTicks;
+      participant.sendsMuch = isUnfinished || participant.moreUnread;
+      if (participant.sendsMuch)
+        participant.startTicks += Math.min(MAX_CHARGE_TICKS, iterationTicks - usedBefore);
+      if (isUnfinished) enqueue(participant);
+    }
   }
 
   private void scheduleIterationEnd() {
@@ -156,22 +155,28 @@
     participant.waiting = true;
     participant.sequence = deferrals;
     queue.add(participant);
-    if (roundScheduled) return;
+    scheduleRound();
+  }
+
+  private void scheduleRound() {
+    if (roundScheduled || queue.isEmpty()) return;
     roundScheduled = true;
     scheduler.scheduleAt(scheduler.now() + ROUND_INTERVAL_TICKS, this::runRound);
   }
 
   /** Gives each waiting connection one turn at most, and one of them a turn in any case. */
   private void runRound() {
+    roundScheduled = false;
     int turnsLeft = queue.size();
-    do {
-      Participant next = queue.poll();
-      next.waiting = false;
-      if (!next.closed) takeTurn(next);
-      turnsLeft--;
-    } while (turnsLeft > 0 && iterationTicks < ITERATION_TICKS);
-    roundScheduled = !queue.isEmpty();
-    if (roundScheduled)
-      scheduler.scheduleAt(scheduler.now() + ROUND_INTERVAL_TICKS, this::runRound);
+    try {
+      do {
+        Participant next = queue.poll();
+        next.waiting = false;
+        if (!next.closed) takeTurn(next);
+        turnsLeft--;
+      } while (turnsLeft > 0 && iterationTicks < ITERATION_TICKS);
+    } finally {
+      scheduleRound();
+    }
   }
 }
--- a/src/test/java/saltlatch/wire/client/LongInputTest.java
+++ b/src/test/java/saltlatch/wire/client/LongInputTest.java
@@ -9,12 +9,15 @@
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import saltlatch.state.RequestContext;
 
 /** One client sends more commands at once than fit into its turn on the event loop. */
 class LongInputTest extends ClientListenerHarness {
   private static final long COST_TICKS = 5; // of each request: a whole turn
   private static final long ROUND_TICKS = 10;
   private static final int COMMANDS = 50;
+  private static final int COMMANDS_OF_TWO_READS = 300;
+  private static final int PENDING_LIMIT = 64; // at which reading stops
 
   private final List<Long> ages = new ArrayList<>();
 
@@ -72,6 +75,25 @@
     assertEquals(1, ages.size());
   }
 
+  /**
+   * Guards against commands that are refused because others of their connection took long: the wait
+   * for earlier answers does not count.
+   */
+  @Test
+  void theWaitForEarlierAnswersDoesNotCount() throws Exception {
+    holdRequests();
+    Socket client = connectAndPing();
+    send(client, QUERY.repeat(COMMANDS_OF_TWO_READS));
+    scheduler.awaitOnLoop(() -> requests.size() >= PENDING_LIMIT);
+    rejectSlowly();
+    scheduler.advance(20_000);
+    List<RequestContext> held = List.copyOf(arrived);
+    scheduler.runOnLoop(() -> held.forEach(request -> request.reject(0)));
+    int replies = held.size() + 1;
+    assertEquals(REJECTED.repeat(replies), receive(client, replies * REJECTED.length()));
+    assertEquals(0, ages.get(0));
+  }
+
   /** Guards against commands that were read but get no reply, since their connection closes. */
   @Test
   void allCommandsAreAnsweredAtShutdown() throws Exception {
--- a/src/test/java/saltlatch/wire/transport/InputTurnsTest.java
+++ b/src/test/java/saltlatch/wire/transport/InputTurnsTest.java
@@ -2,11 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ExecutionException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -26,6 +28,7 @@
     final long costTicks;
     int messages;
     boolean moreUnread;
+    boolean fails;
     double laterTicks; // of each message's work at the end of the iteration
     final InputTurns.Participant participant = turns.join(this::process);
 
@@ -45,6 +48,7 @@
         processed.add(name);
         scheduler.spend(costTicks);
         turns.addCost(laterTicks);
+        if (fails) throw new IllegalStateException("test");
         if (messages > 0 && !turn.hasTime()) return true;
       }
       return false;
@@ -149,6 +153,18 @@
     assertEquals(4, takeProcessed().size());
   }
 
+  /** Guards against a message whose failure keeps all others waiting. */
+  @Test
+  void aFailureStopsNeitherItsConnectionNorOthers() throws Exception {
+    Connection connection = new Connection("a", TURN_TICKS);
+    scheduler.runOnLoop(() -> connection.receive(3));
+    connection.fails = true;
+    assertThrows(ExecutionException.class, () -> scheduler.advance(ROUND_TICKS));
+    connection.fails = false;
+    scheduler.advance(ROUND_TICKS);
+    assertEquals(List.of("a", "a", "a"), takeProcessed());
+  }
+
   @Test
   void aClosedConnectionGetsNoTurn() throws Exception {
     Connection connection = new Connection("a", TURN_TICKS);
