Count the first bytes of a connection from their arrival, not from the accept

Cause: CommandArrivals bounded all arrivals by the time of the accept; connections that came during the stop are accepted after it. Change: nothing bounds the first read's arrival but what the operating system and the stall tell.

--- a/src/main/java/saltlatch/wire/client/ClientConnection.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnection.java
@@ -47,7 +47,7 @@
   private final ClientCommandDispatcher commands;
   private final ClientInput input;
   private final InputTurns.Participant turns;
-  private final CommandArrivals arrivals;
+  private final CommandArrivals arrivals = new CommandArrivals();
   private boolean framingLost; // no more input is parsed
   private boolean closed; // or lingering; no more input is parsed and no more replies are written
   private boolean processingInput; // commands are being processed
@@ -67,7 +67,6 @@
     input = new ClientInput(socket, listener.scheduler(), this::inputCaughtUp);
     turns = listener.inputTurns().join(this::processCommands);
     lastUsedTicks = listener.scheduler().now();
-    arrivals = new CommandArrivals(lastUsedTicks);
     socket.handler(this::read);
     socket.exceptionHandler(e -> metrics().add(Metric.CLIENT_CONNECTIONS_BROKEN));
     socket.closeHandler(v -> connectionEnded());
--- a/src/main/java/saltlatch/wire/client/CommandArrivals.java
+++ b/src/main/java/saltlatch/wire/client/CommandArrivals.java
@@ -17,14 +17,11 @@
 
   private final ArrayDeque<Read> reads = new ArrayDeque<>();
   private long receivedBytes;
-  private long lowestTicks; // all bytes of later reads count as arrived at this time or later
+  // all bytes of later reads count as arrived at this time or later; those of the first read may
+  // have waited since before the connection was accepted
+  private long lowestTicks;
   private long unreadSinceTicks = NONE; // reading was stopped then, and has not caught up since
 
-  /** Creates an empty record of a connection that was accepted at this time. */
-  CommandArrivals(long acceptedTicks) {
-    lowestTicks = acceptedTicks;
-  }
-
   /** Reading stops now, though the client may go on sending. */
   void readingStopped(long nowTicks) {
     unreadSinceTicks = Math.min(unreadSinceTicks, nowTicks);
--- a/src/test/java/saltlatch/wire/client/CommandArrivalsTest.java
+++ b/src/test/java/saltlatch/wire/client/CommandArrivalsTest.java
@@ -9,9 +9,7 @@
  * connection came: their clients would get answers after their time.
  */
 class CommandArrivalsTest {
-  private static final long ACCEPTED = 100;
-
-  private final CommandArrivals arrivals = new CommandArrivals(ACCEPTED);
+  private final CommandArrivals arrivals = new CommandArrivals();
 
   @Test
   void theLastCommandOfAReadArrivedWithTheNewestByte() {
@@ -32,6 +30,13 @@
     assertEquals(1_900, arrivals.arrivalTicks(30));
   }
 
+  /** Guards against connections that are accepted after a stall in which their requests came. */
+  @Test
+  void theFirstBytesMayHaveArrivedBeforeTheAccept() {
+    arrivals.received(30, 500, 300, 2_000, true);
+    assertEquals(500, arrivals.arrivalTicks(30));
+  }
+
   @Test
   void noByteArrivedBeforeTheReadThatLeftNoneUnread() {
     arrivals.received(30, 800, 900, 900, true);
