--- a/src/main/java/saltlatch/wire/client/ClientConnection.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnection.java
@@ -227,6 +227,7 @@
     long nowTicks = listener.scheduler().now();
     if (decoder.isEmpty()) lastUsedTicks = nowTicks;
     decoder.feed(received);
+    if (!hasBacklog) arrivals.allProcessed();
     boolean readAll = received.length() < ClientInput.READ_BYTES;
     arrivals.received(received.length(), nowTicks - TcpConnectionInfo.ticksSinceLastReceive(socket),
         listener.handler().unattendedSinceTicks(nowTicks), nowTicks, readAll);
--- a/src/main/java/saltlatch/wire/client/CommandArrivals.java
+++ b/src/main/java/saltlatch/wire/client/CommandArrivals.java
@@ -22,6 +22,16 @@
   private long lowestTicks;
   private long unreadSinceTicks = NONE; // reading was stopped then, and has not caught up since
 
+  /** No complete command is left of what was received: the next one ends in a later read. */
+  void allProcessed() {
+    reads.clear();
+  }
+
+  /** Returns the number of reads that are recorded. */
+  int recordedReads() {
+    return reads.size();
+  }
+
   /** Reading stops now, though the client may go on sending. */
   void readingStopped(long nowTicks) {
     unreadSinceTicks = Math.min(unreadSinceTicks, nowTicks);
--- a/src/test/java/saltlatch/wire/client/CommandArrivalsTest.java
+++ b/src/test/java/saltlatch/wire/client/CommandArrivalsTest.java
@@ -66,4 +66,14 @@
     arrivals.received(30, 300, 1_000, 1_000, true);
     assertEquals(900, arrivals.arrivalTicks(60));
   }
+
+  /** Guards against records that grow while a client sends other commands than requests. */
+  @Test
+  void nothingIsRecordedOfWhatWasProcessed() {
+    arrivals.received(30, 450, 500, 500, true);
+    arrivals.allProcessed();
+    assertEquals(0, arrivals.recordedReads());
+    arrivals.received(30, 550, 600, 600, true);
+    assertEquals(550, arrivals.arrivalTicks(60));
+  }
 }
