--- a/src/main/java/saltlatch/lab/flood/FloodKind.java
+++ b/src/main/java/saltlatch/lab/flood/FloodKind.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import saltlatch.lab.rig.CommandText;
 
 /** A kind of message with which a client floods an edge node. */
 public enum FloodKind {
@@ -41,24 +42,16 @@
     String customer = String.format("%016x", FIRST_CUSTOMER + number);
     String id = String.format("f%015x", number);
     return switch (this) {
-      case PING -> command("PING");
-      case INFO -> command("INFO");
-      case UNKNOWN -> command("U" + number);
-      case MALFORMED -> command("SVC.QUERY", customer, id);
-      case INVALID -> command("SVC.QUERY", customer, id, "c=u" + number + ",t=plan,d=900");
-      case NEW_CUSTOMER -> command("SVC.QUERY", customer, id, "c=read,t=plan,d=1");
-      case REQUEST -> command("SVC.QUERY", customer, id, "c=read,t=plan,d=900");
+      case PING -> CommandText.of("PING");
+      case INFO -> CommandText.of("INFO");
+      case UNKNOWN -> CommandText.of("U" + number);
+      case MALFORMED -> CommandText.of("SVC.QUERY", customer, id);
+      case INVALID -> CommandText.of("SVC.QUERY", customer, id, "c=u" + number + ",t=plan,d=900");
+      case NEW_CUSTOMER -> CommandText.of("SVC.QUERY", customer, id, "c=read,t=plan,d=1");
+      case REQUEST -> CommandText.of("SVC.QUERY", customer, id, "c=read,t=plan,d=900");
       case SHORT_ELEMENTS ->
         "*" + SHORT_ELEMENT_COUNT + "\r\n" + "$1\r\na\r\n".repeat(SHORT_ELEMENT_COUNT);
       case EMPTY_ARRAY -> "*0\r\n";
     };
   }
-
-  /** Returns an array of bulk strings. */
-  static String command(String... words) {
-    StringBuilder text = new StringBuilder("*" + words.length + "\r\n");
-    for (String word : words)
-      text.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
-    return text.toString();
-  }
 }
--- a/src/main/java/saltlatch/lab/flood/UsualClients.java
+++ b/src/main/java/saltlatch/lab/flood/UsualClients.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import saltlatch.lab.rig.CommandText;
 import saltlatch.wire.FramingException;
 import saltlatch.wire.resp.RespDecoder;
 
@@ -144,8 +145,8 @@
     String customer = String.format("%016x", 1 + random.nextInt(CUSTOMERS));
     String id = String.format("e%015x", ++nextId);
     String terms = "c=" + (submit ? "write" : "read") + ",t=plan,d=" + deadlineMs;
-    return submit ? FloodKind.command("SVC.SUBMIT", customer, id, terms, "body")
-        : FloodKind.command("SVC.QUERY", customer, id, terms);
+    return submit ? CommandText.of("SVC.SUBMIT", customer, id, terms, "body")
+        : CommandText.of("SVC.QUERY", customer, id, terms);
   }
 
   /** Returns the requests that ended since the last call. May be called from any thread. */
--- a/src/main/java/saltlatch/lab/rig/Processes.java
+++ b/src/main/java/saltlatch/lab/rig/Processes.java
@@ -223,6 +223,13 @@
     }
   }
 
+  /** Sends SIGHUP to the given nodes, so that they read their configuration again. */
+  public void reload(List<Integer> nodes) throws IOException, InterruptedException {
+    synchronized (processes) {
+      signal("-HUP", nodes);
+    }
+  }
+
   private void signal(String signalOption, List<Integer> nodes)
       throws IOException, InterruptedException {
     List<String> command = new ArrayList<>(List.of("kill", signalOption));
--- a/src/main/java/saltlatch/lab/soak/SoakRun.java
+++ b/src/main/java/saltlatch/lab/soak/SoakRun.java
@@ -128,14 +128,14 @@
     List<Integer> target = List.of(node);
     Thread.sleep(random.nextLong(MAX_STEP_MS));
     if (seed % CROWD_SEEDS == 0) openCrowd(nodes.ports().get(node));
-    if (random.nextBoolean()) sendReload(node);
+    if (random.nextBoolean()) nodes.reload(target);
     terminatedNanos = System.nanoTime();
     nodes.apply(Action.TERM, target);
     Thread.sleep(NEW_CONNECTIONS_MS);
     leavingPorts.add(nodes.ports().get(node));
     Thread.sleep(random.nextLong(MAX_STEP_MS));
     nodes.apply(Action.TERM, target);
-    if (random.nextBoolean()) sendReload(node);
+    if (random.nextBoolean()) nodes.reload(target);
     long killNanos = terminatedNanos
         + TimeUnit.MILLISECONDS.toNanos(MAX_DEADLINE_MS + KILL_MARGIN_MS);
     TimeUnit.NANOSECONDS.sleep(killNanos - System.nanoTime());
@@ -153,8 +153,4 @@
       // the node's backlog is full: the crowd is as large as it gets
     }
   }
-
-  private void sendReload(int node) throws IOException, InterruptedException {
-    new ProcessBuilder("kill", "-HUP", Long.toString(nodes.pid(node))).start().waitFor();
-  }
 }
