lab: closing clients send at whatever time the node closes idle connections

Need: ClosingRun sent from 3.2 s on and at the first close only, so that a node that closes at other times was hardly tested. Change: half of the clients send at random from 2.0 to 3.6 s after SIGTERM, of the others two for each idle connection that is closed; the stall comes from 2.3 to 3.3 s.

--- a/src/main/java/saltlatch/lab/soak/ClosingRun.java
+++ b/src/main/java/saltlatch/lab/soak/ClosingRun.java
@@ -28,12 +28,12 @@
   private static final long KILL_MS = DEADLINE_MS + KILL_MARGIN_MS;
   /** A request without an answer until then is lost: no process is left to answer it. */
   private static final long LAST_MS = KILL_MS + 500;
-  private static final long FIRST_REQUEST_MS = 3_200;
+  private static final long FIRST_REQUEST_MS = 2_000;
   private static final long LAST_REQUEST_MS = 3_600;
   private static final long SETTLE_MS = 500;
   private static final long SIGNAL_INTERVAL_MS = 300;
-  private static final long STALL_FROM_MS = 3_200;
-  private static final long MAX_STALL_DELAY_MS = 100;
+  private static final long STALL_FROM_MS = 2_300;
+  private static final long MAX_STALL_DELAY_MS = 1_000;
 
   /** What disturbs the node while it ends. */
   public enum Disturbance {
--- a/src/main/java/saltlatch/lab/soak/IdleClients.java
+++ b/src/main/java/saltlatch/lab/soak/IdleClients.java
@@ -13,14 +13,15 @@
 
 /**
  * Clients with idle connections to a node, which send their requests round the time at which the
- * node closes them: one half at random times, the other half as soon as the node closes the first
- * unused connection.
+ * node closes them: one half at random times, the others as soon as the node closes an unused
+ * connection, two for each one that it closes.
  * Runs on a thread of its own; {@link #finish} returns what became of the requests.
  */
 final class IdleClients implements AutoCloseable {
   /** From the sending of one piece of a request to that of the next one. */
   private static final long PIECE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
   private static final long POLL_MS = 1;
+  private static final int CLIENTS_PER_CLOSE = 2;
 
   private final List<IdleConnection> connections = new ArrayList<>();
   private final Selector selector = Selector.open();
@@ -85,18 +86,18 @@
 
   private void step() throws IOException {
     selector.select(POLL_MS);
-    boolean closeHadBegun = closeHasBegun();
+    long closedBefore = closedUnused();
     for (SelectionKey key : selector.selectedKeys()) readFrom(key);
     selector.selectedKeys().clear();
     long nowNanos = System.nanoTime();
-    if (!closeHadBegun && closeHasBegun()) sendAllAt(nowNanos);
+    sendNextAt(nowNanos, CLIENTS_PER_CLOSE * (closedUnused() - closedBefore));
     for (IdleConnection connection : connections) sendIfDue(connection);
     judgeEnded();
   }
 
-  /** Returns whether the node has closed an idle connection. */
-  private boolean closeHasBegun() {
-    return connections.stream().anyMatch(IdleConnection::hasEndedUnused);
+  /** Returns how many unused connections the node has closed. */
+  private long closedUnused() {
+    return connections.stream().filter(IdleConnection::hasEndedUnused).count();
   }
 
   private static void readFrom(SelectionKey key) {
@@ -105,9 +106,14 @@
     if (connection.hasEnded()) key.cancel();
   }
 
-  private void sendAllAt(long nanos) {
-    for (int i = 1; i < connections.size(); i += 2) {
-      if (connections.get(i).dueNanos() > nanos) connections.get(i).scheduleAt(nanos);
+  /** Has the next clients send that do not send at a random time. */
+  private void sendNextAt(long nanos, long clients) {
+    long left = clients;
+    for (int i = 1; i < connections.size() && left > 0; i += 2) {
+      IdleConnection connection = connections.get(i);
+      if (connection.hasEnded() || connection.dueNanos() <= nanos) continue;
+      connection.scheduleAt(nanos);
+      left--;
     }
   }
 
