Decide each close in one place, right after reading, and never end the output first

Cause: LingeringClose ended the output and kept the input open for 200 ms, unread. What had arrived between the last read and the stop of reading, or came until the close, waited there behind the FIN. When the client closed meanwhile, epoll handed the bytes over and they were dropped, so that close() had nothing unread and sent no reset. Change: CloseDecision decides for each reason. ClientConnection.tryClose first reads what has arrived, by a read of its own; commands among it are answered and the connection stays. Otherwise it closes at once, input and output together, when the client's system has confirmed all replies: the operating system resets what comes later, and a reset overtakes no reply. LingeringClose and the timers of ClientInput go. Idle, unused, incomplete, lost framing, replaced, not reading, draining and termination go the same way; a connection whose first command waits for a turn is no longer replaced as silent. The listener stops accepting before the node ends. Why each connection was closed is logged (reason, state, owed, read, unread) and counted (clients_closed, clients_reset). Where a test sent a command into a close it took any clean end: it now fails unless a reset follows within 50 ms (NodeHarness.readLineOrReset).

--- a/src/main/java/saltlatch/node/GracefulShutdown.java
+++ b/src/main/java/saltlatch/node/GracefulShutdown.java
@@ -7,12 +7,13 @@
 import saltlatch.wire.client.ClientListener;
 
 /**
- * The planned shutdown of a node in three phases. First the node serves normally for as long as the
+ * The planned shutdown of a node in four phases. First the node serves normally for as long as the
  * time until SIGKILL permits, or until all clients have closed their connections; otherwise
  * requests would fail for clients that have no other node until this one has restarted. Then each
  * connection is closed after its next reply. Finally requests in flight fail, since SIGKILL would
- * lose them, and new requests are rejected, so that all received data is read before a connection
- * is closed.
+ * lose them, new connections are refused, and each connection is closed once what has arrived on it
+ * is answered. A connection whose client does not take its replies is reset at the end, so that the
+ * process ends before SIGKILL.
  *
  * <p>Runs on the event loop.
  */
@@ -26,8 +27,11 @@
   private static final long KILL_MARGIN_MS = 700;
   /** Part of that margin reserved for the JVM's exit, which may get only part of a core. */
   private static final long JVM_EXIT_MS = 400;
-  /** SIGKILL is sent by then at the latest, so a longer wait has no use. */
-  static final long MAX_DURATION_MS = MAX_CLIENT_TIMEOUT_MS + KILL_MARGIN_MS;
+  /** From the rejection of all requests to the reset of the connections that are still open. */
+  private static final long CLOSING_MS = 150;
+  /** The JVM has to exit before SIGKILL, so a longer wait has no use. */
+  static final long MAX_DURATION_MS = MAX_CLIENT_TIMEOUT_MS + KILL_MARGIN_MS - JVM_EXIT_MS
+      + 2 * CLOSING_MS;
 
   private final Vertx vertx;
   private final ClientListener listener;
@@ -74,20 +78,28 @@
   void start() {
     vertx.setTimer(schedule.drainStartMs(), t -> listener.closeConnectionsAfterReply());
     vertx.setTimer(schedule.rejectStartMs(), t -> rejectAll());
+    vertx.setTimer(schedule.rejectStartMs() + CLOSING_MS, t -> listener.terminateConnections());
     vertx.setPeriodic(MIN_SERVING_MS, CHECK_INTERVAL_MS, this::check);
   }
 
   private void rejectAll() {
+    listener.stopAccepting();
     listener.failPendingAndRejectNew();
     runtime.leaveFleet();
+    listener.closeIdleConnections();
   }
 
   private void check(long periodicTimer) {
     // includes connections opened since the last check
     if (listener.isRejecting()) listener.closeIdleConnections();
     if (listener.openConnections() > 0) return;
+    if (listener.isAccepting()) {
+      listener.stopAccepting(); // a connection may have been accepted: ends at a later check
+      return;
+    }
     vertx.cancelTimer(periodicTimer);
     rejectAll(); // requests that arrive during the close must not be forwarded
+    listener.flushLog();
     done.complete();
   }
 }
--- a/src/main/java/saltlatch/state/NodeMetrics.java
+++ b/src/main/java/saltlatch/state/NodeMetrics.java
@@ -16,6 +16,8 @@
     CLIENT_DISCONNECTS("clients_left"),
     CLIENT_CONNECTIONS_SILENT("clients_mute"),
     CLIENT_CONNECTIONS_NOT_READING("clients_not_reading"),
+    CLIENT_CONNECTIONS_CLOSED("clients_closed"),
+    CLIENT_CONNECTIONS_RESET("clients_reset"),
     COMMANDS_UNKNOWN("commands_unknown"),
     COMMANDS_MALFORMED("commands_malformed"),
     COMMANDS_LOST_FRAMING("commands_lost_framing"),
--- a/src/main/java/saltlatch/wire/client/ClientConnection.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnection.java
@@ -9,6 +9,7 @@
 import saltlatch.wire.resp.RespDecoder;
 import saltlatch.wire.resp.RespEncoder;
 import saltlatch.wire.resp.RespValue;
+import saltlatch.wire.transport.AvailableInput;
 import saltlatch.wire.transport.InputTurns;
 import saltlatch.wire.transport.SocketCloser;
 import saltlatch.wire.transport.TcpConnectionInfo;
@@ -20,16 +21,13 @@
  * commands of a single read.
  *
  * <p>Invariant: every byte that this process has read is in the decoder, and every complete command
- * among them has its reply or a place in the queue of replies. This side closes the connection only
- * once all these replies are written, and never before it has read what arrived while reading was
- * stopped. This holds for each close: after a reply at shutdown, when the connection is unused,
- * incomplete or replaced by a new one, and when this node ends; a reload closes none. The event
- * loop may still hand over bytes after reading was stopped, so the close begins one iteration after
- * the stop, and not if commands came in between. A connection that is already ending is replaced
- * only after its client has been sent the replies. There are three exceptions. After lost framing
- * the following bytes are no commands. A client that has closed its side, or that does not read its
- * replies, cannot receive any. Bytes that arrive during the close stay unread, and the resulting
- * reset shows the client that they were not processed.
+ * among them has its reply or a place in the queue of replies. Whatever the reason of a close, this
+ * side reads what has arrived right before it decides, answers it, and closes when nothing had
+ * arrived ({@link CloseDecision}). What arrives later is never read, and the operating system
+ * resets the connection, which shows the client that it was not processed. There are three
+ * exceptions. After lost framing the following bytes are no commands. A client that has closed its
+ * side, or that does not read its replies, cannot receive any. When the process terminates, what is
+ * left is reset.
  */
 final class ClientConnection {
   /** Pending commands at which reading stops. */
@@ -37,6 +35,8 @@
   /** While this node ends, a client that takes nothing for this long is assumed not to read. */
   private static final long NOT_READING_TICKS = Ticks.PER_SECOND / 10;
 
+  private static final long DELIVERY_CHECK_TICKS = 5 * Ticks.PER_MILLISECOND;
+
   private static final Buffer INCOMPLETE_COMMAND = RespEncoder.line("-ERR command incomplete");
   private static final String PROTOCOL_ERROR_PREFIX = "-ERR Protocol error: ";
 
@@ -49,12 +49,14 @@
   private final InputTurns.Participant turns;
   private final CommandArrivals arrivals = new CommandArrivals();
   private boolean framingLost; // no more input is parsed
-  private boolean closed; // or lingering; no more input is parsed and no more replies are written
+  private boolean closed; // no more input is parsed and no more replies are written
   private boolean processingInput; // commands are being processed
   private boolean hasBacklog; // complete commands may be in the decoder
   private boolean waitsForAnswers; // reading was stopped because too many replies are unsent
   private boolean hasSentCommand;
-  private boolean hasReadSinceStop; // while this side is about to close the connection
+  private CloseReason errorReason; // of the close behind the last reply, once framing is lost
+  private boolean awaitsDelivery; // a timer looks whether the replies have reached the client
+  private long readBytes;
   // time of the accept, of the last complete command, or of the first byte of the next command
   private long lastUsedTicks;
 
@@ -64,13 +66,15 @@
     decoder = new RespDecoder(listener.memory().incompleteCommands());
     replies = new ReplyQueue(socket, listener.scheduler(), listener.memory().unsentReplies());
     commands = new ClientCommandDispatcher(listener, this::addPendingReply);
-    input = new ClientInput(socket, listener.scheduler(), this::inputCaughtUp);
+    input = new ClientInput(socket);
     turns = listener.inputTurns().join(this::processCommands);
     lastUsedTicks = listener.scheduler().now();
     socket.handler(this::read);
     socket.exceptionHandler(e -> metrics().add(Metric.CLIENT_CONNECTIONS_BROKEN));
     socket.closeHandler(v -> connectionEnded());
     socket.drainHandler(v -> flushReplies());
+    // without a handler Vert.x closes the connection as soon as the listener accepts no more
+    socket.shutdownHandler(v -> {});
   }
 
   /** Returns whether no reply is pending. */
@@ -78,17 +82,9 @@
     return replies.isEmpty();
   }
 
-  /**
-   * Returns whether the connection may be closed in favour of a new one: closing would lose no
-   * reply, or the client has read none for too long.
-   */
-  boolean isReplaceable(long staleTicks) {
-    return replies.isStalledSince(staleTicks) || (isCaughtUp() && replies.isSent());
-  }
-
-  /** Returns whether the client has been sent all its replies, or has read none for too long. */
-  boolean owesNoReply(long staleTicks) {
-    return replies.isSent() || replies.isStalledSince(staleTicks);
+  /** Returns whether the connection is to be closed behind its last reply. */
+  boolean isFinished() {
+    return framingLost;
   }
 
   /** Reserves memory for a reply of this size; returns false if all memory is in use. */
@@ -112,14 +108,55 @@
   // ---- closing
 
   /**
-   * Closes at once. If bytes are unread, the operating system resets the connection; the reset
-   * shows the client that those commands were not processed, and it sends them again on a new
-   * connection.
+   * Closes the connection for this reason, unless the client is owed a reply or commands have
+   * arrived. Reads what has arrived first.
+   *
+   * @return whether the connection is closed, or is closing behind its replies
    */
-  void close() {
+  boolean tryClose(CloseReason reason) {
+    if (closed) return true;
+    if (processingInput) return false;
+    writeReadyReplies();
+    boolean clientEnded = false;
+    if (mayReadBefore(reason)) {
+      AvailableInput arrived = input.readAvailable();
+      if (!arrived.isEmpty()) {
+        read(arrived.bytes());
+        return false;
+      }
+      clientEnded = arrived.isEnded();
+    }
+    CloseReason actualReason = framingLost && !reason.isForced() ? errorReason : reason;
+    CloseDecision.State state = closeState(clientEnded);
+    CloseDecision decision = CloseDecision.of(actualReason, state);
+    if (decision != CloseDecision.KEEP) carryOut(decision, actualReason, state);
+    return closed;
+  }
+
+  private boolean mayReadBefore(CloseReason reason) {
+    return !framingLost && !reason.isForced() && isIdle() && !hasBacklog && clientReads();
+  }
+
+  private CloseDecision.State closeState(boolean clientEnded) {
+    return new CloseDecision.State(replies.size(), hasBacklog, !decoder.isEmpty(),
+        replies.delivery(), clientReads(), clientEnded);
+  }
+
+  private boolean clientReads() {
+    return !replies.isStalledSince(listener.scheduler().now() - NOT_READING_TICKS);
+  }
+
+  private void carryOut(CloseDecision decision, CloseReason reason, CloseDecision.State state) {
     closed = true;
     listener.closed(this);
-    releaseMemory();
+    listener.closedConnections().add(reason, decision, state, readBytes,
+        TcpConnectionInfo.receivedBytes(socket));
+    if (decision == CloseDecision.RESET) SocketCloser.resetNow(socket);
+    else closeNow();
+    abandonRequests();
+  }
+
+  private void closeNow() {
     SocketCloser.closeNow(socket);
   }
 
@@ -127,36 +164,49 @@
   void closeIfStalledSince(long ticks) {
     if (closed || !replies.isStalledSince(ticks)) return;
     metrics().add(Metric.CLIENT_CONNECTIONS_NOT_READING);
-    close();
+    tryClose(CloseReason.NOT_READING);
   }
 
-  private void linger() {
-    closed = true;
-    turns.close();
-    decoder.close();
-    listener.startedLingering(this);
-    new LingeringClose(socket, listener.scheduler(), framingLost).begin(listener.isRejecting());
+  /** Closes the connection at once, whatever is left to be answered. */
+  void terminate() {
+    tryClose(CloseReason.TERMINATION);
   }
 
   /**
    * Closes the connection if it has been unused since this time or longer, and has sent no command
-   * yet or only part of its latest one.
+   * yet or only part of its latest one, or if its client has not taken its last reply since then.
    */
   void closeIfIncompleteSince(long ticks) {
     boolean isBetweenCommands = hasSentCommand && decoder.isEmpty();
-    if (closed || lastUsedTicks > ticks || !isUnused() || isBetweenCommands) return;
+    if (closed || lastUsedTicks > ticks) return;
+    if (framingLost) {
+      tryClose(CloseReason.NOT_READING);
+    } else if (isBetweenCommands || input.isStopped()) {
+      return;
+    } else if (decoder.isEmpty()) {
+      if (tryClose(CloseReason.UNUSED)) metrics().add(Metric.CLIENT_CONNECTIONS_SILENT);
+    } else if (isIdle() && !hasBacklog) {
+      replyToIncompleteCommand();
+    }
+  }
+
+  private void replyToIncompleteCommand() {
+    Buffer arrived = input.readAvailable().bytes();
+    if (arrived.length() > 0) read(arrived);
+    boolean mayBeComplete = arrived.length() == ClientInput.READ_BYTES || hasBacklog
+        || decoder.isEmpty() || !isIdle();
+    if (closed || framingLost || mayBeComplete) return;
     metrics().add(Metric.CLIENT_CONNECTIONS_SILENT);
-    framingLost = true;
-    if (decoder.isEmpty()) close();
-    else addPendingReply().setLine(INCOMPLETE_COMMAND);
+    loseFraming(CloseReason.INCOMPLETE_COMMAND, INCOMPLETE_COMMAND);
   }
 
-  void closeIfIdle() {
-    if (closed) return;
-    writeReadyReplies();
-    boolean clientReads = !replies.isStalledSince(listener.scheduler().now() - NOT_READING_TICKS);
-    if (isUnused()) lingerAfterLastRead();
-    else if (isIdle() && !clientReads) linger();
+  /** Sets the connection's last reply; no more input is processed. */
+  private void loseFraming(CloseReason reason, Buffer error) {
+    framingLost = true;
+    hasBacklog = false;
+    lastUsedTicks = listener.scheduler().now();
+    errorReason = reason;
+    addPendingReply().setLine(error);
   }
 
   /** Aborts the requests that have no final response, so that they get one now. */
@@ -164,51 +214,32 @@
     replies.unfinishedRequests().forEach(listener.handler()::abort);
   }
 
-  /**
-   * Starts a lingering close if the framing is lost, or if this node stops and no command is left.
-   * Guards, while this node stops, against closing before the replies to commands that were read
-   * together with the one just answered, or that waited while reading was stopped: their client
-   * would treat them as lost.
-   */
-  private void lingerIfFinished() {
+  /** Closes behind the last reply if the framing is lost, or if this node stops. */
+  private void closeIfFinished() {
     if (closed || processingInput || !isIdle()) return;
-    if (framingLost) linger();
-    else if (listener.isClosing() && isUnused() && decoder.isEmpty()) lingerAfterLastRead();
-  }
-
-  /**
-   * Stops reading, and starts a lingering close once the loop can hand over no more bytes. Guards
-   * against discarding a command that the loop reads after the stop.
-   */
-  private void lingerAfterLastRead() {
-    hasReadSinceStop = false;
-    input.stop();
-    listener.scheduler().afterCurrentIteration(() -> {
-      if (closed) return;
-      if (hasReadSinceStop) updateReading();
-      else linger();
+    if (!framingLost && !listener.isClosing()) return;
+    boolean isOpen = !tryClose(CloseReason.DRAINING);
+    if (isOpen && isIdle() && !hasBacklog) closeOnceDelivered();
+  }
+
+  /** Tries to close again later, since the operating system does not tell of a delivery. */
+  private void closeOnceDelivered() {
+    if (awaitsDelivery || replies.delivery() == CloseDecision.Delivery.DELIVERED) return;
+    awaitsDelivery = true;
+    listener.scheduler().scheduleAt(listener.scheduler().now() + DELIVERY_CHECK_TICKS, () -> {
+      awaitsDelivery = false;
+      closeIfFinished();
     });
   }
 
-  /** Returns whether no reply is pending, and no command waits to be read or processed. */
-  private boolean isUnused() {
-    return isIdle() && isCaughtUp();
-  }
-
-  private boolean isCaughtUp() {
-    return input.isCaughtUp() && !hasBacklog;
-  }
-
-  private void inputCaughtUp() {
-    if (closed) return;
-    // the client could not send the rest of a command while reading was stopped
-    lastUsedTicks = listener.scheduler().now();
-    lingerIfFinished();
-  }
-
   private void connectionEnded() {
     closed = true;
     listener.connectionEnded(this);
+    abandonRequests();
+  }
+
+  /** Ends the requests without a reply, and releases the memory of all others. */
+  private void abandonRequests() {
     replies.unfinishedRequests().forEach(listener.handler()::clientDisconnected);
     releaseMemory();
   }
@@ -223,7 +254,7 @@
 
   private void read(Buffer received) {
     if (framingLost || closed || clientHasClosed()) return;
-    hasReadSinceStop = true;
+    readBytes += received.length();
     long nowTicks = listener.scheduler().now();
     if (decoder.isEmpty()) lastUsedTicks = nowTicks;
     decoder.feed(received);
@@ -254,9 +285,7 @@
       }
     } catch (FramingException e) {
       metrics().add(Metric.COMMANDS_LOST_FRAMING);
-      framingLost = true;
-      hasBacklog = false;
-      addPendingReply().setLine(RespEncoder.line(PROTOCOL_ERROR_PREFIX + e.problem()));
+      loseFraming(CloseReason.LOST_FRAMING, RespEncoder.line(PROTOCOL_ERROR_PREFIX + e.problem()));
     } finally {
       endTurn();
     }
@@ -269,7 +298,7 @@
     updateReading();
     // not at once, because the same iteration may read more commands
     if (framingLost || listener.isClosing())
-      listener.scheduler().afterCurrentIteration(this::lingerIfFinished);
+      listener.scheduler().afterCurrentIteration(this::closeIfFinished);
   }
 
   /** Returns false if no command is complete. */
@@ -299,7 +328,7 @@
     if (closed || processingInput) return;
     writeReadyReplies();
     updateReading();
-    lingerIfFinished();
+    closeIfFinished();
   }
 
   private void writeReadyReplies() {
@@ -327,6 +356,7 @@
   private void resumeReading() {
     if (waitsForAnswers) arrivals.waitedForAnswers(listener.scheduler().now());
     waitsForAnswers = false;
-    input.resume();
+    // the client could not send the rest of a command while reading was stopped
+    if (input.resume()) lastUsedTicks = listener.scheduler().now();
   }
 }
--- a/src/main/java/saltlatch/wire/client/ClientConnections.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnections.java
@@ -16,8 +16,6 @@
   private final Set<ClientConnection> silent = new LinkedHashSet<>();
   // have sent a command; the least recently used first
   private final Set<ClientConnection> used = new LinkedHashSet<>();
-  // being closed by this node; oldest first
-  private final Set<ClientConnection> lingering = new LinkedHashSet<>();
 
   void add(ClientConnection connection) {
     silent.add(connection);
@@ -29,22 +27,16 @@
     used.add(connection);
   }
 
-  void startedLingering(ClientConnection connection) {
-    remove(connection);
-    lingering.add(connection);
-  }
-
   void remove(ClientConnection connection) {
     silent.remove(connection);
     used.remove(connection);
-    lingering.remove(connection);
   }
 
   int size() {
-    return silent.size() + used.size() + lingering.size();
+    return silent.size() + used.size();
   }
 
-  /** Returns a copy of the sets of connections not closing, because closing one modifies them. */
+  /** Returns a copy of the sets, because closing a connection modifies them. */
   List<ClientConnection> open() {
     List<ClientConnection> open = new ArrayList<>(silent);
     open.addAll(used);
@@ -52,23 +44,24 @@
   }
 
   /**
-   * Returns the connection to close in favour of a new one: first one that is already lingering and
-   * owes no reply; then the least recently used replaceable one, if it was last used at
-   * {@code staleTicks} or earlier; then the oldest one that has sent no complete command; then a
-   * replaceable one that was used more recently, whose client can send its next request on a new
-   * connection. Returns null if all connections have unsent replies.
+   * Closes a connection in favour of a new one: first one that ends behind its last reply; then the least recently used one, if it was last used at {@code staleTicks} or earlier;
+   * then the oldest one that has sent no complete command; then one that was used more recently,
+   * whose client can send its next request on a new connection. One that turns out to have received
+   * commands, or whose client has not got its replies, is passed over.
+   *
+   * @return false if there is none
    */
-  ClientConnection selectForClosing(long staleTicks) {
-    ClientConnection finished = first(lingering, connection -> connection.owesNoReply(staleTicks));
-    if (finished != null) return finished;
-    ClientConnection replaceable = first(used, connection -> connection.isReplaceable(staleTicks));
-    if (replaceable != null && replaceable.lastUsedTicks() <= staleTicks) return replaceable;
-    return silent.isEmpty() ? replaceable : silent.iterator().next();
+  boolean closeOne(long staleTicks) {
+    List<ClientConnection> byUse = List.copyOf(used);
+    return closeFirst(open(), ClientConnection::isFinished)
+        || closeFirst(byUse, connection -> connection.lastUsedTicks() <= staleTicks)
+        || closeFirst(List.copyOf(silent), connection -> true)
+        || closeFirst(byUse, connection -> connection.lastUsedTicks() > staleTicks);
   }
 
-  /** Returns the first connection that the condition holds for; null if there is none. */
-  private static ClientConnection first(Set<ClientConnection> connections,
+  private static boolean closeFirst(List<ClientConnection> connections,
       Predicate<ClientConnection> condition) {
-    return connections.stream().filter(condition).findFirst().orElse(null);
+    return connections.stream().filter(condition)
+        .anyMatch(connection -> connection.tryClose(CloseReason.REPLACED));
   }
 }
--- a/src/main/java/saltlatch/wire/client/ClientListener.java
+++ b/src/main/java/saltlatch/wire/client/ClientListener.java
@@ -6,6 +6,7 @@
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
+import java.util.concurrent.TimeUnit;
 import saltlatch.api.Ticks;
 import saltlatch.state.ClientRequest;
 import saltlatch.state.NodeMemory;
@@ -15,6 +16,7 @@
 import saltlatch.wire.transport.InputTurns;
 import saltlatch.wire.transport.Scheduler;
 import saltlatch.wire.transport.SocketCloser;
+import saltlatch.wire.transport.TcpConnectionInfo;
 
 /**
  * Accepts clients' connections, receives their commands and writes the replies. Called on the
@@ -54,6 +56,10 @@
   /** Short enough to close a connection without a command within the 3 s of the protocol. */
   private static final long SWEEP_INTERVAL_TICKS = Ticks.PER_SECOND / 4;
   private static final int BACKLOG_PER_CONNECTION = 16;
+  /** Open connections are closed by this class, long before. */
+  private static final long SHUTDOWN_TIMEOUT_HOURS = 1;
+  private static final CloseDecision.State NEW_CONNECTION = new CloseDecision.State(0, false, false,
+      CloseDecision.Delivery.DELIVERED, true, false);
 
   private final Handler handler;
   private final NodeMetrics metrics;
@@ -63,11 +69,13 @@
   private final Scheduler scheduler;
   private final InputTurns inputTurns;
   private final ClientConnections connections = new ClientConnections();
+  private final ClosedConnectionLog closedConnections;
   // counts a connection until its close handler is called, so it can exceed connections.size()
   private int openConnections;
   private boolean ready;
   private boolean closing;
   private boolean rejecting;
+  private boolean accepting = true;
   private long refusalsAtLastSweep; // reservations for replies that were refused until then
 
   /** Creates the listener; it accepts connections after {@link #listen} is called. */
@@ -79,6 +87,7 @@
     this.maxConnections = maxConnections;
     this.memory = memory;
     this.inputTurns = inputTurns;
+    closedConnections = new ClosedConnectionLog(scheduler, metrics);
     // Guards against many clients that connect at once: if the backlog were short, the operating
     // system would also drop connections of other clients, which would retry after a second.
     server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true)
@@ -107,9 +116,8 @@
   }
 
   /**
-   * Closes each connection right after a reply from now on. Guards against losing a request that a
-   * client sends while this node closes its idle connection: a client that has just received a
-   * reply has not sent its next request yet.
+   * Closes each connection right after a reply from now on, because a client that has just received
+   * a reply has not sent its next request yet.
    */
   public void closeConnectionsAfterReply() {
     closing = true;
@@ -124,9 +132,32 @@
     connections.open().forEach(ClientConnection::abortRequests);
   }
 
-  /** Closes the connections that have no pending reply. */
+  /** Closes the connections to which no reply is owed and on which no command has arrived. */
   public void closeIdleConnections() {
-    connections.open().forEach(ClientConnection::closeIfIdle);
+    for (ClientConnection connection : connections.open())
+      connection.tryClose(CloseReason.SHUTDOWN);
+  }
+
+  /** Writes the log lines of the connections that were closed. */
+  public void flushLog() {
+    closedConnections.flush();
+  }
+
+  /** Accepts no further connections; the operating system refuses them, and resets waiting ones. */
+  public void stopAccepting() {
+    if (!accepting) return;
+    accepting = false;
+    Future<?> unused = server.shutdown(SHUTDOWN_TIMEOUT_HOURS, TimeUnit.HOURS);
+  }
+
+  /** Returns whether {@link #stopAccepting} was not called yet. */
+  public boolean isAccepting() {
+    return accepting;
+  }
+
+  /** Closes all connections at once. Called if some could not be closed in order in time. */
+  public void terminateConnections() {
+    connections.open().forEach(ClientConnection::terminate);
   }
 
   /** Returns the number of open client connections, including those that are being closed. */
@@ -134,6 +165,11 @@
     return openConnections;
   }
 
+  /** Returns whether connections are closed after their replies. */
+  public boolean isClosing() {
+    return closing;
+  }
+
   /** Returns whether every new request is rejected. */
   public boolean isRejecting() {
     return rejecting;
@@ -142,7 +178,7 @@
   private void accept(NetSocket socket) {
     metrics.add(Metric.CLIENT_CONNECTIONS_ACCEPTED);
     if (connections.size() >= maxConnections && !closeForNewConnection()) {
-      SocketCloser.closeNow(socket);
+      closeOverLimit(socket);
       return;
     }
     openConnections++;
@@ -156,10 +192,14 @@
    */
   private boolean closeForNewConnection() {
     metrics.add(Metric.CLIENT_CONNECTIONS_OVER_LIMIT);
-    ClientConnection selected = connections.selectForClosing(scheduler.now() - STALE_AFTER_TICKS);
-    if (selected == null) return false;
-    selected.close();
-    return true;
+    return connections.closeOne(scheduler.now() - STALE_AFTER_TICKS);
+  }
+
+  /** Closes a new connection of which nothing was read. */
+  private void closeOverLimit(NetSocket socket) {
+    closedConnections.add(CloseReason.OVER_LIMIT, CloseDecision.CLOSE, NEW_CONNECTION, 0,
+        TcpConnectionInfo.receivedBytes(socket));
+    SocketCloser.closeNow(socket);
   }
 
   /**
@@ -194,10 +234,6 @@
     return ready;
   }
 
-  boolean isClosing() {
-    return closing;
-  }
-
   Handler handler() {
     return handler;
   }
@@ -210,6 +246,10 @@
     return memory;
   }
 
+  ClosedConnectionLog closedConnections() {
+    return closedConnections;
+  }
+
   Scheduler scheduler() {
     return scheduler;
   }
@@ -223,11 +263,6 @@
     connections.commandReceived(connection);
   }
 
-  /** Called when this connection starts its lingering close. */
-  void startedLingering(ClientConnection connection) {
-    connections.startedLingering(connection);
-  }
-
   /** Called when this side has closed the connection; {@link #connectionEnded} follows. */
   void closed(ClientConnection connection) {
     connections.remove(connection);
--- a/src/main/java/saltlatch/wire/client/ReplyQueue.java
+++ b/src/main/java/saltlatch/wire/client/ReplyQueue.java
@@ -8,6 +8,7 @@
 import saltlatch.state.MemoryBudget;
 import saltlatch.state.RequestContext;
 import saltlatch.wire.transport.Scheduler;
+import saltlatch.wire.transport.TcpConnectionInfo;
 
 /**
  * The replies that a client's connection owes, in the order of its commands. A reply is pending
@@ -53,6 +54,13 @@
     return pending.isEmpty() && writesInProgress == 0;
   }
 
+  /** Returns how far the written replies have come. */
+  CloseDecision.Delivery delivery() {
+    if (writesInProgress > 0) return CloseDecision.Delivery.WRITING;
+    return TcpConnectionInfo.isOutputDelivered(socket) ? CloseDecision.Delivery.DELIVERED
+        : CloseDecision.Delivery.ON_THEIR_WAY;
+  }
+
   /** Returns whether the client has taken nothing of its unsent replies since this time. */
   boolean isStalledSince(long ticks) {
     return writesInProgress > 0 && lastProgressTicks <= ticks;
--- a/src/main/java/saltlatch/wire/transport/SocketCloser.java
+++ b/src/main/java/saltlatch/wire/transport/SocketCloser.java
@@ -1,9 +1,10 @@
 package saltlatch.wire.transport;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.socket.DuplexChannel;
+import io.netty.channel.ChannelOption;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 
@@ -13,17 +14,9 @@
  * is ignored, because the connection's close handler is called in any case.
  */
 public final class SocketCloser {
-  private SocketCloser() {}
+  private static final int LINGER_OFF = -1;
 
-  /** Shuts down only this side's output: data from the other side can still be read. */
-  public static void shutdownOutput(NetSocket socket) {
-    Channel channel = context(socket).channel();
-    if (channel instanceof DuplexChannel duplex && channel.isActive()) {
-      ChannelFuture unused = duplex.shutdownOutput();
-    } else {
-      closeNow(socket);
-    }
-  }
+  private SocketCloser() {}
 
   /**
    * Closes without waiting for pending writes. Guards against a partner that does not read: its
@@ -35,6 +28,40 @@
     ChannelFuture unused = context(socket).close();
   }
 
+  /**
+   * Closes at once with a reset, which shows the other side that not all it has sent was processed.
+   * What it has not received yet is lost.
+   */
+  public static void resetNow(NetSocket socket) {
+    resetAtExit(socket);
+    closeNow(socket);
+  }
+
+  /**
+   * Has the operating system reset the connection if the process ends. Guards against a process
+   * that is killed or out of time before it has answered what it has read: without a reset, the
+   * other side would take the end for an orderly one.
+   */
+  public static void resetAtExit(NetSocket socket) {
+    setLinger(socket, 0);
+  }
+
+  /** Has the operating system end the connection in order if the process ends, as by default. */
+  public static void endAtExit(NetSocket socket) {
+    setLinger(socket, LINGER_OFF);
+  }
+
+  private static void setLinger(NetSocket socket, int seconds) {
+    Channel channel = context(socket).channel();
+    if (!channel.isOpen()) return;
+    try {
+      channel.config().setOption(ChannelOption.SO_LINGER, seconds);
+    } catch (ChannelException e) {
+      // The connection has broken: there is nothing left to reset.
+      return;
+    }
+  }
+
   private static ChannelHandlerContext context(NetSocket socket) {
     return ((NetSocketInternal) socket).channelHandlerContext();
   }
--- a/src/main/java/saltlatch/wire/transport/SocketInput.java
+++ b/src/main/java/saltlatch/wire/transport/SocketInput.java
@@ -1,9 +1,15 @@
 package saltlatch.wire.transport;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelConfig;
 import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.epoll.EpollSocketChannel;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
+import java.io.IOException;
+import java.nio.ByteBuffer;
 
 /**
  * Stops and resumes reading from a connection at its channel. A paused Vert.x socket still reads up
@@ -38,7 +44,37 @@
     config(socket).setRecvByteBufAllocator(new FixedRecvByteBufAllocator(bytes));
   }
 
+  /**
+   * Reads what has arrived, up to this many bytes, without waiting for the event loop to do so.
+   * Returns no bytes without the native transport.
+   */
+  public static AvailableInput readAvailable(NetSocket socket, int maxBytes) {
+    if (!(channel(socket) instanceof EpollSocketChannel channel)) return AvailableInput.NOTHING;
+    if (!channel.isOpen()) return AvailableInput.ENDED;
+    ByteBuf target = channel.alloc().directBuffer(maxBytes);
+    try {
+      ByteBuffer memory = target.internalNioBuffer(0, maxBytes);
+      int length = channel.fd().read(memory, memory.position(), memory.limit());
+      if (length < 0) return AvailableInput.ENDED;
+      return new AvailableInput(Buffer.buffer(copy(target, length)), false);
+    } catch (IOException e) {
+      return AvailableInput.ENDED; // reset: the event loop reports it
+    } finally {
+      target.release();
+    }
+  }
+
+  private static byte[] copy(ByteBuf source, int length) {
+    byte[] bytes = new byte[length];
+    source.getBytes(0, bytes);
+    return bytes;
+  }
+
   private static ChannelConfig config(NetSocket socket) {
-    return ((NetSocketInternal) socket).channelHandlerContext().channel().config();
+    return channel(socket).config();
+  }
+
+  private static Channel channel(NetSocket socket) {
+    return ((NetSocketInternal) socket).channelHandlerContext().channel();
   }
 }
--- a/src/test/java/saltlatch/node/NodeHarness.java
+++ b/src/test/java/saltlatch/node/NodeHarness.java
@@ -1,5 +1,6 @@
 package saltlatch.node;
 
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.ByteArrayOutputStream;
@@ -9,6 +10,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -33,6 +35,8 @@
  * app server, counter and discovery in turn, so that none of them race.
  */
 abstract class NodeHarness {
+  /** How long after the end of a connection its reset may come. */
+  static final int RESET_WAIT_MS = 50;
   private static final Pattern DEADLINE = Pattern.compile("\\$(\\d+) c=\\S*\\bd=(\\d+)");
   private static final String CLOSE_WAIT = "08"; // the state's code in Linux's /proc/net/tcp
 
@@ -213,6 +217,23 @@
     return out.toString(StandardCharsets.ISO_8859_1);
   }
 
+  /**
+   * Reads a line after something was sent; returns "closed" if the node has ended the connection.
+   * Such an end has to be a reset, at once or within 50 ms, since nothing else shows the client that
+   * its command was not read.
+   */
+  static String readLineOrReset(Socket socket) throws Exception {
+    try {
+      String line = readLine(socket);
+      if (!line.equals("closed")) return line;
+    } catch (SocketException e) {
+      return "closed";
+    }
+    Thread.sleep(RESET_WAIT_MS);
+    assertThrows(IOException.class, () -> send(socket, "*"));
+    return "closed";
+  }
+
   static String readLines(Socket socket, int count) throws IOException {
     List<String> lines = new ArrayList<>();
     for (int i = 0; i < count; i++) lines.add(readLine(socket));
