Close idle connections throughout the drain, and answer what was read before the end

What callers saw: beside load the process still ran 3.7 s after SIGTERM, when SIGKILL may come (ClosingIT on the busy core and after a stall, before: not ended; a trial with three busy processes on its core: 3.76 s). Cause: all idle connections were closed at 3.3 s, 0.7 ms of CPU each while the classes for it were loaded; requests read then waited for turns, of which an iteration takes 1 ms of real time, less than a slice of the shared core. Change: from the begin of the drain on (2.3 s) idle connections are closed little by little (GracefulShutdown.closeSomeIdleConnections); crossing requests can still be sent again to this node. When requests are rejected each connection gets its turn in each iteration. What the process has read by then and not answered is reset if it is ended (SocketCloser.resetAtExit).

--- a/src/main/java/saltlatch/node/GracefulShutdown.java
+++ b/src/main/java/saltlatch/node/GracefulShutdown.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import java.util.concurrent.TimeUnit;
 import saltlatch.api.GatewaySettings;
 import saltlatch.api.Ticks;
 import saltlatch.wire.client.ClientListener;
@@ -10,7 +11,8 @@
  * The planned shutdown of a node in four phases. First the node serves normally for as long as the
  * time until SIGKILL permits, or until all clients have closed their connections; otherwise
  * requests would fail for clients that have no other node until this one has restarted. Then each
- * connection is closed after its next reply. Finally requests in flight fail, since SIGKILL would
+ * connection is closed after its next reply, and idle
+ * ones are closed little by little. Finally requests in flight fail, since SIGKILL would
  * lose them, new connections are refused, and each connection is closed once what has arrived on it
  * is answered. A connection whose client does not take its replies is reset at the end, so that the
  * process ends before SIGKILL.
@@ -21,6 +23,8 @@
   /** Clients open new connections for up to 0.4 s after SIGTERM; 0.1 s is margin. */
   private static final long MIN_SERVING_MS = 500;
   private static final long CHECK_INTERVAL_MS = 20;
+  /** All idle connections are to be closed this many checks before requests are rejected. */
+  private static final long FREE_CHECKS = 10;
   /** SIGKILL is sent no sooner than the longest client timeout, counted up to this limit. */
   private static final long MAX_CLIENT_TIMEOUT_MS = 3_000;
   /** Time from the end of the client timeout to SIGKILL. */
@@ -38,6 +42,7 @@
   private final NodeRuntime runtime;
   private final Schedule schedule;
   private final Promise<Void> done;
+  private long startNanos;
 
   GracefulShutdown(Vertx vertx, ClientListener listener, NodeRuntime runtime, Schedule schedule,
       Promise<Void> done) {
@@ -76,6 +81,7 @@
 
   /** Starts the shutdown; completes the promise once no client is connected. */
   void start() {
+    startNanos = System.nanoTime();
     vertx.setTimer(schedule.drainStartMs(), t -> listener.closeConnectionsAfterReply());
     vertx.setTimer(schedule.rejectStartMs(), t -> rejectAll());
     vertx.setTimer(schedule.rejectStartMs() + CLOSING_MS, t -> listener.terminateConnections());
@@ -92,6 +98,7 @@
   private void check(long periodicTimer) {
     // includes connections opened since the last check
     if (listener.isRejecting()) listener.closeIdleConnections();
+    else if (listener.isClosing()) closeSomeIdleConnections();
     if (listener.openConnections() > 0) return;
     if (listener.isAccepting()) {
       listener.stopAccepting(); // a connection may have been accepted: ends at a later check
@@ -102,4 +109,16 @@
     listener.flushLog();
     done.complete();
   }
+
+  /** Spreads the closes over the time until all requests are rejected. */
+  private void closeSomeIdleConnections() {
+    long leftMs = schedule.rejectStartMs() - elapsedMs();
+    long checksLeft = Math.max(1, leftMs / CHECK_INTERVAL_MS - FREE_CHECKS);
+    long count = (listener.openConnections() + checksLeft - 1) / checksLeft;
+    listener.closeIdleConnections((int) count);
+  }
+
+  private long elapsedMs() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+  }
 }
--- a/src/main/java/saltlatch/wire/client/ClientConnection.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnection.java
@@ -157,6 +157,7 @@
   }
 
   private void closeNow() {
+    if (listener.isRejecting()) SocketCloser.endAtExit(socket);
     SocketCloser.closeNow(socket);
   }
 
@@ -255,6 +256,7 @@
   private void read(Buffer received) {
     if (framingLost || closed || clientHasClosed()) return;
     readBytes += received.length();
+    if (listener.isRejecting()) SocketCloser.resetAtExit(socket);
     long nowTicks = listener.scheduler().now();
     if (decoder.isEmpty()) lastUsedTicks = nowTicks;
     decoder.feed(received);
--- a/src/main/java/saltlatch/wire/client/ClientListener.java
+++ b/src/main/java/saltlatch/wire/client/ClientListener.java
@@ -129,6 +129,7 @@
    */
   public void failPendingAndRejectNew() {
     rejecting = true;
+    inputTurns.removeIterationLimit();
     connections.open().forEach(ClientConnection::abortRequests);
   }
 
@@ -138,6 +139,18 @@
       connection.tryClose(CloseReason.SHUTDOWN);
   }
 
+  /**
+   * Closes the least recently used connections to which no reply is owed and on which no command
+   * has arrived, at most this many.
+   */
+  public void closeIdleConnections(int maxCount) {
+    int closed = 0;
+    for (ClientConnection connection : connections.open()) {
+      if (closed >= maxCount) return;
+      if (connection.tryClose(CloseReason.DRAINING)) closed++;
+    }
+  }
+
   /** Writes the log lines of the connections that were closed. */
   public void flushLog() {
     closedConnections.flush();
--- a/src/main/java/saltlatch/wire/transport/InputTurns.java
+++ b/src/main/java/saltlatch/wire/transport/InputTurns.java
@@ -66,7 +66,7 @@
       if (waiting || closed) return;
       startTicks = Math.max(startTicks, virtualTicks);
       boolean isFirst = queue.isEmpty() || startTicks <= virtualTicks;
-      if (!isFirst || iterationTicks >= ITERATION_TICKS) enqueue(this);
+      if (!isFirst || iterationTicks >= iterationLimitTicks) enqueue(this);
       else takeTurn(this);
     }
 
@@ -98,6 +98,7 @@
   private boolean iterationEndScheduled;
   private boolean roundScheduled;
   private long deferrals;
+  private double iterationLimitTicks = ITERATION_TICKS;
 
   /** Creates an empty queue. */
   public InputTurns(Scheduler scheduler) {
@@ -109,6 +110,15 @@
     return new Participant(processor);
   }
 
+  /**
+   * Gives each connection a turn in each iteration from now on, however many these are. Called when
+   * the node is about to terminate: messages that were read must be answered before, also on a core
+   * that is shared with others, where turns seem far longer than they are.
+   */
+  public void removeIterationLimit() {
+    iterationLimitTicks = Double.POSITIVE_INFINITY;
+  }
+
   /**
    * Takes time off the current turn for work that its message causes at the end of the iteration.
    * May be called while a message is processed.
@@ -174,7 +184,7 @@
         next.waiting = false;
         if (!next.closed) takeTurn(next);
         turnsLeft--;
-      } while (turnsLeft > 0 && iterationTicks < ITERATION_TICKS);
+      } while (turnsLeft > 0 && iterationTicks < iterationLimitTicks);
     } finally {
       scheduleRound();
     }
