--- a/src/main/java/saltlatch/lab/soak/ClosingRun.java
+++ b/src/main/java/saltlatch/lab/soak/ClosingRun.java
@@ -31,6 +31,8 @@
   private static final long FIRST_REQUEST_MS = 2_000;
   private static final long LAST_REQUEST_MS = 3_600;
   private static final long SETTLE_MS = 500;
+  /** Of each way. A reset behind an end comes two delays after it: within the clients' wait. */
+  private static final long LINK_DELAY_MS = 10;
   private static final long SIGNAL_INTERVAL_MS = 300;
   private static final long STALL_FROM_MS = 2_300;
   private static final long MAX_STALL_DELAY_MS = 1_000;
@@ -46,7 +48,9 @@
     /** SIGTERM and SIGHUP come again and again. */
     SIGNALS,
     /** Hundreds of connections on which nothing is sent. */
-    CROWD
+    CROWD,
+    /** All bytes, ends and resets reach the other side later. */
+    DELAYED_LINK
   }
 
   /**
@@ -145,8 +149,10 @@
 
   private Result endNode() throws Exception {
     int port = nodes.ports().get(NODE);
-    try (IdleClients clients = new IdleClients(port, plan.clients(), plan.form(), DEADLINE_MS,
-        random.split())) {
+    boolean delayed = plan.disturbance() == Disturbance.DELAYED_LINK;
+    try (DelayedLink link = new DelayedLink(port, LINK_DELAY_MS);
+        IdleClients clients = new IdleClients(delayed ? link.port() : port, plan.clients(),
+            plan.form(), DEADLINE_MS, random.split())) {
       Thread.sleep(SETTLE_MS);
       if (plan.disturbance() == Disturbance.BUSY_CORE) startBusyProcesses();
       if (plan.disturbance() == Disturbance.CROWD) openCrowd(port);
--- a/src/main/java/saltlatch/lab/soak/SoakClient.java
+++ b/src/main/java/saltlatch/lab/soak/SoakClient.java
@@ -1,8 +1,11 @@
 package saltlatch.lab.soak;
 
+import java.io.EOFException;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
@@ -11,11 +14,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import saltlatch.lab.rig.CommandText;
 
 /**
  * A client that sends one request after another on its connection for as long as the node keeps it
- * open, and then on a new connection to any node. A request whose connection ends is sent once
- * more, since the node may not have read it. Runs on a thread of its own.
+ * open, and then on a new connection to any node. A request whose connection is reset before any
+ * answer is sent once more, since the node has not read it; any other end without a whole answer is
+ * a loss ({@link RequestVerdict}). Runs on a thread of its own.
  */
 final class SoakClient implements Runnable {
   private static final long MIN_DEADLINE_MS = 600;
@@ -35,6 +40,7 @@
   private Socket connection;
   private int connectedPort;
   private int requests;
+  private int receivedBytes; // of the current answer
 
   /**
    * Creates a client.
@@ -103,16 +109,23 @@
     String id = String.format(Locale.ROOT, "%s-%d", name, ++requests);
     long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(deadlineMs + GRACE_MS);
     int firstPort = connectedPort;
-    String end = exchange(command(id, deadlineMs), endNanos);
-    if (end == null) return;
+    Exchange first = exchange(command(id, deadlineMs), endNanos);
+    if (first.verdict() == RequestVerdict.ANSWERED) return;
+    if (first.verdict() == RequestVerdict.LOST) {
+      report(id, deadlineMs, first.end(), firstPort);
+      return;
+    }
     while (connection == null && leftMs(endNanos) > GRACE_MS) connect();
     if (connection == null) return; // no node accepts: the request was never taken again
     long leftMs = Math.max(0, leftMs(endNanos) - GRACE_MS);
-    String secondEnd = exchange(command(id + "-2", leftMs), endNanos);
-    if (secondEnd != null) {
-      violations.accept(id + " of " + deadlineMs + " ms: " + end + " at port " + firstPort
-          + ", then " + secondEnd + " at port " + connectedPort);
-    }
+    int secondPort = connectedPort;
+    Exchange second = exchange(command(id + "-2", leftMs), endNanos);
+    if (second.verdict() != RequestVerdict.ANSWERED)
+      report(id, deadlineMs, first.end() + ", then " + second.end(), secondPort);
+  }
+
+  private void report(String id, long deadlineMs, String end, int port) {
+    violations.accept(id + " of " + deadlineMs + " ms: " + end + " at port " + port);
   }
 
   private static long leftMs(long endNanos) {
@@ -121,23 +134,39 @@
 
   private String command(String id, long deadlineMs) {
     String customer = String.format(Locale.ROOT, "%016x", 1 + random.nextInt(50));
-    String terms = "c=read,t=plan,d=" + deadlineMs;
-    StringBuilder text = new StringBuilder("*4\r\n");
-    for (String word : List.of("SVC.QUERY", customer, id, terms))
-      text.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
-    return text.toString();
+    return CommandText.of("SVC.QUERY", customer, id, "c=read,t=plan,d=" + deadlineMs);
   }
 
-  /** Returns null after an answer, otherwise how the exchange and its connection ended. */
-  private String exchange(String command, long endNanos) {
+  /** What became of a request, and how its connection ended if it got no whole answer. */
+  private record Exchange(RequestVerdict verdict, String end) {}
+
+  private Exchange exchange(String command, long endNanos) throws InterruptedException {
+    boolean sent = false;
+    receivedBytes = 0;
     try {
       connection.getOutputStream().write(command.getBytes(StandardCharsets.ISO_8859_1));
+      sent = true;
       readReply(endNanos);
       answered.incrementAndGet();
-      return null;
+      return new Exchange(RequestVerdict.ANSWERED, "");
     } catch (IOException e) {
+      Exchange exchange = new Exchange(verdictAtEnd(sent, e), e.getMessage());
       disconnect();
-      return e.getMessage();
+      return exchange;
+    }
+  }
+
+  /** Part of an answer shows that the request was read, whatever ends the connection behind it. */
+  private RequestVerdict verdictAtEnd(boolean sent, IOException end) throws InterruptedException {
+    if (!sent) return RequestVerdict.NOT_SENT;
+    if (end instanceof SocketTimeoutException || receivedBytes > 0) return RequestVerdict.LOST;
+    if (!(end instanceof EOFException)) return RequestVerdict.RESET;
+    Thread.sleep(RequestVerdict.RESET_WAIT_MS);
+    try {
+      boolean reset = !LocalConnections.portsInCloseWait().contains(connection.getLocalPort());
+      return RequestVerdict.atEnd(false, reset);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
     }
   }
 
@@ -159,7 +188,8 @@
   private int readByte(long endNanos) throws IOException {
     connection.setSoTimeout((int) Math.max(1, leftMs(endNanos)));
     int next = connection.getInputStream().read();
-    if (next < 0) throw new IOException("closed");
+    if (next < 0) throw new EOFException("clean end");
+    receivedBytes++;
     return next;
   }
 }
--- a/src/main/java/saltlatch/lab/soak/SoakRun.java
+++ b/src/main/java/saltlatch/lab/soak/SoakRun.java
@@ -27,11 +27,17 @@
   private static final int NODES = 3;
   private static final int ROUNDS = 2;
   private static final int CLIENTS = 24;
+  /** Clients whose only requests come round the end of a node. */
+  private static final int IDLE_CLIENTS = 60;
+  private static final RequestForm[] FORMS = RequestForm.values();
   private static final int CROWD_CONNECTIONS = 400;
   private static final int CROWD_SEEDS = 3;
   private static final long MAX_DEADLINE_MS = 2_000;
   /** From the end of the longest deadline after SIGTERM to SIGKILL. */
   private static final long KILL_MARGIN_MS = 700;
+  private static final long KILL_MS = MAX_DEADLINE_MS + KILL_MARGIN_MS;
+  /** A request without an answer until then is lost: its node is gone. */
+  private static final long LAST_ANSWERS_MS = 500;
   /** New connections come for up to 0.4 s after SIGTERM. */
   private static final long NEW_CONNECTIONS_MS = 400;
   private static final long MAX_STEP_MS = 1_000;
@@ -43,6 +49,7 @@
   private final List<Socket> crowd = new ArrayList<>();
   private final Set<Integer> leavingPorts = ConcurrentHashMap.newKeySet();
   private volatile long terminatedNanos;
+  private int crossing; // requests of idle clients that were answered or reset
   private Processes nodes;
 
   private SoakRun(long seed) {
@@ -50,12 +57,18 @@
     random = new SplittableRandom(seed);
   }
 
-  /** What a run saw: how many requests got an answer, and a line for each that did not. */
-  public record Result(long seed, int answered, List<String> violations) {
+  /**
+   * What a run saw.
+   *
+   * @param answered   requests of the clients that use their connections all the time
+   * @param crossing   those of idle clients that were sent round the end of a node and not lost
+   * @param violations a line for each lost request, and for each node that did not end in time
+   */
+  public record Result(long seed, int answered, int crossing, List<String> violations) {
     @Override
     public String toString() {
-      return "seed " + seed + ": " + answered + " answered, " + violations.size() + " lost "
-          + violations;
+      return "seed " + seed + ": " + answered + " answered, " + crossing + " at the end, "
+          + violations.size() + " lost " + violations;
     }
   }
 
@@ -71,7 +84,7 @@
       nodes = processes;
       nodes.start(NODES);
       int answered = runClients();
-      return new Result(seed, answered, List.copyOf(violations));
+      return new Result(seed, answered, crossing, List.copyOf(violations));
     } finally {
       for (Socket connection : crowd) connection.close();
       emulator.stop().toCompletionStage().toCompletableFuture().get();
@@ -129,22 +142,33 @@
     Thread.sleep(random.nextLong(MAX_STEP_MS));
     if (seed % CROWD_SEEDS == 0) openCrowd(nodes.ports().get(node));
     if (random.nextBoolean()) nodes.reload(target);
+    IdleClients idle = new IdleClients(nodes.ports().get(node), IDLE_CLIENTS,
+        FORMS[random.nextInt(FORMS.length)], MAX_DEADLINE_MS, random.split());
     terminatedNanos = System.nanoTime();
     nodes.apply(Action.TERM, target);
+    idle.start(terminatedNanos, NEW_CONNECTIONS_MS, KILL_MS, KILL_MS + LAST_ANSWERS_MS);
     Thread.sleep(NEW_CONNECTIONS_MS);
     leavingPorts.add(nodes.ports().get(node));
     Thread.sleep(random.nextLong(MAX_STEP_MS));
     nodes.apply(Action.TERM, target);
     if (random.nextBoolean()) nodes.reload(target);
-    long killNanos = terminatedNanos
-        + TimeUnit.MILLISECONDS.toNanos(MAX_DEADLINE_MS + KILL_MARGIN_MS);
+    long killNanos = terminatedNanos + TimeUnit.MILLISECONDS.toNanos(KILL_MS);
     TimeUnit.NANOSECONDS.sleep(killNanos - System.nanoTime());
+    if (nodes.alive(node)) violations.add("node " + node + " has not ended before SIGKILL");
     nodes.apply(Action.KILL, target);
+    addLosses(idle);
     nodes.apply(Action.START, target);
     Thread.sleep(SETTLE_MS);
     leavingPorts.clear();
   }
 
+  private void addLosses(IdleClients idle) throws IOException, InterruptedException {
+    ClosingResult result = idle.finish();
+    idle.close();
+    crossing += result.count(RequestVerdict.ANSWERED) + result.count(RequestVerdict.RESET);
+    result.losses().forEach(loss -> violations.add("idle client: " + loss));
+  }
+
   private void openCrowd(int port) {
     try {
       for (int i = 0; i < CROWD_CONNECTIONS; i++)
--- a/src/test/java/saltlatch/lab/ClosingIT.java
+++ b/src/test/java/saltlatch/lab/ClosingIT.java
@@ -21,14 +21,20 @@
  */
 class ClosingIT {
   private static final int CLIENTS = 150;
+  private static final int LINK_CLIENTS = 60; // each needs two threads of the link
   private static final long SEED = 1;
 
   @TempDir Path directory;
 
   private void assertNoneLost(Disturbance disturbance, RequestForm form) throws Exception {
+    assertNoneLost(disturbance, form, CLIENTS);
+  }
+
+  private void assertNoneLost(Disturbance disturbance, RequestForm form, int clients)
+      throws Exception {
     Processes.Program program = Processes.Program.of(Path.of("deploy/balancer.toml"),
         Path.of("target/saltlatch.jar"), directory);
-    ClosingRun.Result result = ClosingRun.run(program, Plan.of(disturbance, CLIENTS, form), SEED);
+    ClosingRun.Result result = ClosingRun.run(program, Plan.of(disturbance, clients, form), SEED);
     System.out.println(disturbance + ", " + form + ": " + result);
     assertEquals(List.of(), result.requests().losses());
     assertTrue(result.requests().count(RequestVerdict.ANSWERED) > 0, result.toString());
@@ -65,6 +71,11 @@
     assertNoneLost(Disturbance.SIGNALS, RequestForm.WHOLE);
   }
 
+  @Test
+  void soAreThoseOnADelayedLink() throws Exception {
+    assertNoneLost(Disturbance.DELAYED_LINK, RequestForm.WHOLE, LINK_CLIENTS);
+  }
+
   @Test
   void soAreThoseBesideACrowd() throws Exception {
     assertNoneLost(Disturbance.CROWD, RequestForm.WHOLE);
