A reset tells of input read behind an error; the soak tells connections apart by both ports

Bytes that the loop hands over in the iteration that sets the error for an incomplete command are dropped; the close behind them had nothing unread and was an orderly end. The judge looked for the local port alone among connections in CLOSE_WAIT, and Linux gives one port to connections with different remote ports. It looks for both ports now.

--- a/src/main/java/saltlatch/lab/soak/DelayedLink.java
+++ b/src/main/java/saltlatch/lab/soak/DelayedLink.java
@@ -27,7 +27,7 @@
   private final long delayMs;
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
   private volatile boolean closed;
-  private volatile Set<Integer> endedPorts = Set.of();
+  private volatile Set<LocalConnections.Connection> ended = Set.of();
   private final AtomicLong looks = new AtomicLong();
 
   /** Starts to accept connections, which are passed on to the node after the delay. */
@@ -104,15 +104,15 @@
    * @param firstLook the first look that shows the end
    */
   private void awaitReset(Socket node, long firstLook) throws InterruptedException {
-    int port = node.getLocalPort();
-    while (!closed && (looks.get() < firstLook || endedPorts.contains(port)))
+    var connection = new LocalConnections.Connection(node.getLocalPort(), nodePort);
+    while (!closed && (looks.get() < firstLook || ended.contains(connection)))
       Thread.sleep(RESET_POLL_MS);
   }
 
   /** One thread looks for all connections, since each look reads the states of all. */
   private void lookForResets() throws IOException, InterruptedException {
     while (!closed) {
-      endedPorts = LocalConnections.portsInCloseWait();
+      ended = LocalConnections.inCloseWait();
       looks.incrementAndGet();
       Thread.sleep(RESET_POLL_MS);
     }
--- a/src/main/java/saltlatch/lab/soak/IdleClients.java
+++ b/src/main/java/saltlatch/lab/soak/IdleClients.java
@@ -129,9 +129,8 @@
     List<IdleConnection> due = connections.stream()
         .filter(connection -> connection.isDueForJudgement(nowNanos)).toList();
     if (due.isEmpty()) return;
-    Set<Integer> notReset = LocalConnections.portsInCloseWait();
-    for (IdleConnection connection : due)
-      connection.judge(!notReset.contains(connection.localPort()));
+    Set<LocalConnections.Connection> notReset = LocalConnections.inCloseWait();
+    for (IdleConnection connection : due) connection.judge(!notReset.contains(connection.ports()));
   }
 
   /** Waits until each connection was judged, and returns the results. */
--- a/src/main/java/saltlatch/lab/soak/IdleConnection.java
+++ b/src/main/java/saltlatch/lab/soak/IdleConnection.java
@@ -24,7 +24,7 @@
       .toNanos(RequestVerdict.RESET_WAIT_MS);
 
   private final SocketChannel channel;
-  private final int localPort;
+  private final LocalConnections.Connection ports;
   private final List<String> pieces;
   private final int expectedReplies;
   private final RespDecoder decoder = new RespDecoder();
@@ -48,15 +48,16 @@
     this.expectedReplies = expectedReplies;
     channel = SocketChannel.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
     channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-    localPort = ((InetSocketAddress) channel.getLocalAddress()).getPort();
+    int localPort = ((InetSocketAddress) channel.getLocalAddress()).getPort();
+    ports = new LocalConnections.Connection(localPort, port);
   }
 
   SocketChannel channel() {
     return channel;
   }
 
-  int localPort() {
-    return localPort;
+  LocalConnections.Connection ports() {
+    return ports;
   }
 
   void scheduleAt(long nanos) {
--- a/src/main/java/saltlatch/lab/soak/LocalConnections.java
+++ b/src/main/java/saltlatch/lab/soak/LocalConnections.java
@@ -15,6 +15,7 @@
   private static final List<Path> TABLES = List.of(Path.of("/proc/net/tcp"),
       Path.of("/proc/net/tcp6"));
   private static final int LOCAL_ADDRESS_FIELD = 1;
+  private static final int REMOTE_ADDRESS_FIELD = 2;
   private static final int STATE_FIELD = 3;
   /** Of net/tcp_states.h: the other side has ended the connection and has not reset it. */
   private static final String CLOSE_WAIT = "08";
@@ -23,26 +24,35 @@
   private LocalConnections() {}
 
   /**
-   * Returns the local ports of the connections whose other side has ended its output only. The port
-   * of a connection that was reset is not among them.
+   * A connection of this machine to itself, as one side sees it. The local port alone does not tell
+   * it apart: Linux gives the same one to connections to different ports.
+   */
+  record Connection(int localPort, int remotePort) {}
+
+  /**
+   * Returns the connections whose other side has ended its output only. One that was reset is not
+   * among them.
    *
    * @throws IOException if the tables can't be read
    */
-  static Set<Integer> portsInCloseWait() throws IOException {
-    Set<Integer> ports = new HashSet<>();
+  static Set<Connection> inCloseWait() throws IOException {
+    Set<Connection> connections = new HashSet<>();
     for (Path table : TABLES) {
-      if (Files.exists(table)) addPortsInCloseWait(Files.readAllLines(table), ports);
+      if (Files.exists(table)) addInCloseWait(Files.readAllLines(table), connections);
     }
-    return ports;
+    return connections;
   }
 
-  private static void addPortsInCloseWait(List<String> lines, Set<Integer> ports) {
+  private static void addInCloseWait(List<String> lines, Set<Connection> connections) {
     for (String line : lines.subList(1, lines.size())) {
       String[] fields = line.trim().split(" +", -1);
       if (!fields[STATE_FIELD].equals(CLOSE_WAIT)) continue;
-      String address = fields[LOCAL_ADDRESS_FIELD];
-      String port = address.substring(address.indexOf(':') + 1);
-      ports.add(Integer.parseInt(port, HEXADECIMAL));
+      connections.add(new Connection(portOf(fields[LOCAL_ADDRESS_FIELD]),
+          portOf(fields[REMOTE_ADDRESS_FIELD])));
     }
   }
+
+  private static int portOf(String address) {
+    return Integer.parseInt(address.substring(address.indexOf(':') + 1), HEXADECIMAL);
+  }
 }
--- a/src/main/java/saltlatch/lab/soak/SoakClient.java
+++ b/src/main/java/saltlatch/lab/soak/SoakClient.java
@@ -163,8 +163,8 @@
     if (!(end instanceof EOFException)) return RequestVerdict.RESET;
     Thread.sleep(RequestVerdict.RESET_WAIT_MS);
     try {
-      boolean reset = !LocalConnections.portsInCloseWait().contains(connection.getLocalPort());
-      return RequestVerdict.atEnd(false, reset);
+      var ports = new LocalConnections.Connection(connection.getLocalPort(), connectedPort);
+      return RequestVerdict.atEnd(false, !LocalConnections.inCloseWait().contains(ports));
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
--- a/src/main/java/saltlatch/node/GracefulShutdown.java
+++ b/src/main/java/saltlatch/node/GracefulShutdown.java
@@ -11,11 +11,11 @@
  * The planned shutdown of a node in four phases. First the node serves normally for as long as the
  * time until SIGKILL permits, or until all clients have closed their connections; otherwise
  * requests would fail for clients that have no other node until this one has restarted. Then each
- * connection is closed after its next reply, and idle
- * ones are closed little by little. Finally requests in flight fail, since SIGKILL would
- * lose them, new connections are refused, and each connection is closed once what has arrived on it
- * is answered. A connection whose client does not take its replies is reset at the end, so that the
- * process ends before SIGKILL.
+ * connection is closed after its next reply, and idle ones are closed little by little, so that few
+ * are left for the next phase. Then requests in flight fail, since SIGKILL would lose them, new
+ * connections are refused, and each connection is closed once what has arrived on it is answered.
+ * Finally the connections whose clients do not take their replies are reset, so that the process
+ * ends before SIGKILL.
  *
  * <p>Runs on the event loop.
  */
--- a/src/main/java/saltlatch/wire/client/ClientConnection.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnection.java
@@ -54,6 +54,7 @@
   private boolean hasBacklog; // complete commands may be in the decoder
   private boolean waitsForAnswers; // reading was stopped because too many replies are unsent
   private boolean hasSentCommand;
+  private boolean inputDropped; // bytes were read behind lost framing
   private CloseReason errorReason; // of the close behind the last reply, once framing is lost
   private boolean awaitsDelivery; // a timer looks whether the replies have reached the client
   private long readBytes;
@@ -111,7 +112,7 @@
    * Closes the connection for this reason, unless the client is owed a reply or commands have
    * arrived. Reads what has arrived first.
    *
-   * @return whether the connection is closed, or is closing behind its replies
+   * @return whether the connection is closed
    */
   boolean tryClose(CloseReason reason) {
     if (closed) return true;
@@ -138,7 +139,7 @@
   }
 
   private CloseDecision.State closeState(boolean clientEnded) {
-    return new CloseDecision.State(replies.size(), hasBacklog, !decoder.isEmpty(),
+    return new CloseDecision.State(replies.size(), hasBacklog, !decoder.isEmpty(), inputDropped,
         replies.delivery(), clientReads(), clientEnded);
   }
 
@@ -254,6 +255,7 @@
   // ---- commands
 
   private void read(Buffer received) {
+    if (framingLost) inputDropped = true;
     if (framingLost || closed || clientHasClosed()) return;
     readBytes += received.length();
     if (listener.isRejecting()) SocketCloser.resetAtExit(socket);
--- a/src/main/java/saltlatch/wire/client/ClientConnections.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnections.java
@@ -44,10 +44,11 @@
   }
 
   /**
-   * Closes a connection in favour of a new one: first one that ends behind its last reply; then the least recently used one, if it was last used at {@code staleTicks} or earlier;
-   * then the oldest one that has sent no complete command; then one that was used more recently,
-   * whose client can send its next request on a new connection. One that turns out to have received
-   * commands, or whose client has not got its replies, is passed over.
+   * Closes a connection in favour of a new one: first one that ends behind its
+   * last reply; then the least recently used one, if it was last used at {@code staleTicks} or
+   * earlier; then the oldest one that has sent no complete command; then one that was used more
+   * recently, whose client can send its next request on a new connection. One that turns out to
+   * have received commands, or whose client has not got its replies, is passed over.
    *
    * @return false if there is none
    */
--- a/src/main/java/saltlatch/wire/client/ClientListener.java
+++ b/src/main/java/saltlatch/wire/client/ClientListener.java
@@ -59,7 +59,7 @@
   /** Open connections are closed by this class, long before. */
   private static final long SHUTDOWN_TIMEOUT_HOURS = 1;
   private static final CloseDecision.State NEW_CONNECTION = new CloseDecision.State(0, false, false,
-      CloseDecision.Delivery.DELIVERED, true, false);
+      false, CloseDecision.Delivery.DELIVERED, true, false);
 
   private final Handler handler;
   private final NodeMetrics metrics;
--- a/src/main/java/saltlatch/wire/client/CloseDecision.java
+++ b/src/main/java/saltlatch/wire/client/CloseDecision.java
@@ -36,12 +36,13 @@
    * @param owedReplies   commands whose replies are not written yet
    * @param commandsWait  complete commands may wait to be processed
    * @param partOfCommand part of a command was read
+   * @param inputDropped  bytes were read behind the end of what can be answered
    * @param delivery      of the replies that are written
    * @param clientReads   the client reads its replies
    * @param clientEnded   the client has closed its side
    */
-  record State(int owedReplies, boolean commandsWait, boolean partOfCommand, Delivery delivery,
-      boolean clientReads, boolean clientEnded) {
+  record State(int owedReplies, boolean commandsWait, boolean partOfCommand, boolean inputDropped,
+      Delivery delivery, boolean clientReads, boolean clientEnded) {
     private boolean isAnswered() {
       return owedReplies == 0 && !commandsWait;
     }
@@ -69,6 +70,7 @@
     if (!state.isAnswered()) return KEEP;
     if (state.delivery() != Delivery.DELIVERED)
       return reason == CloseReason.REPLACED && !state.clientReads() ? RESET : KEEP;
+    if (state.inputDropped()) return RESET;
     if (!state.partOfCommand() || reason.followsError()) return CLOSE;
     return reason == CloseReason.DRAINING ? KEEP : RESET;
   }
--- a/src/test/java/saltlatch/node/NodeHarness.java
+++ b/src/test/java/saltlatch/node/NodeHarness.java
@@ -219,8 +219,8 @@
 
   /**
    * Reads a line after something was sent; returns "closed" if the node has ended the connection.
-   * Such an end has to be a reset, at once or within 50 ms, since nothing else shows the client that
-   * its command was not read.
+   * Such an end has to be a reset, at once or within 50 ms, since nothing else shows the client
+   * that its command was not read.
    */
   static String readLineOrReset(Socket socket) throws Exception {
     try {
--- a/src/test/java/saltlatch/wire/client/CloseDecisionTest.java
+++ b/src/test/java/saltlatch/wire/client/CloseDecisionTest.java
@@ -11,7 +11,7 @@
   private static final State IDLE = state(0, false, false, Delivery.DELIVERED);
 
   private static State state(int owed, boolean commandsWait, boolean part, Delivery delivery) {
-    return new State(owed, commandsWait, part, delivery, true, false);
+    return new State(owed, commandsWait, part, false, delivery, true, false);
   }
 
   private static String decisions(State state) {
@@ -32,9 +32,15 @@
     assertEquals("KRRRCCRRR", decisions(state(0, false, true, Delivery.DELIVERED)));
   }
 
+  @Test
+  void aResetTellsOfInputThatWasDroppedBehindAnError() {
+    State dropped = new State(0, false, true, true, Delivery.DELIVERED, true, false);
+    assertEquals(CloseDecision.RESET, CloseDecision.of(CloseReason.INCOMPLETE_COMMAND, dropped));
+  }
+
   @Test
   void aClientThatDoesNotReadIsReplacedWithAReset() {
-    State notReading = new State(0, false, false, Delivery.WRITING, false, false);
+    State notReading = new State(0, false, false, false, Delivery.WRITING, false, false);
     assertEquals(CloseDecision.RESET, CloseDecision.of(CloseReason.REPLACED, notReading));
   }
 }
