Close once replies are delivered also if that happens between two looks; no wait without TCP_INFO

Change: the timer is set whenever the close was put off for its replies. By reading: without TCP_INFO replies never counted as delivered, so that no connection could be replaced. The direct read uses recv, as all other reads.

--- a/src/main/java/saltlatch/wire/client/ClientConnection.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnection.java
@@ -220,13 +220,14 @@
   private void closeIfFinished() {
     if (closed || processingInput || !isIdle()) return;
     if (!framingLost && !listener.isClosing()) return;
-    boolean isOpen = !tryClose(CloseReason.DRAINING);
-    if (isOpen && isIdle() && !hasBacklog) closeOnceDelivered();
+    if (tryClose(CloseReason.DRAINING) || !isIdle() || hasBacklog) return;
+    boolean waitsForRestOfCommand = !framingLost && !decoder.isEmpty();
+    if (!waitsForRestOfCommand) closeOnceDelivered();
   }
 
   /** Tries to close again later, since the operating system does not tell of a delivery. */
   private void closeOnceDelivered() {
-    if (awaitsDelivery || replies.delivery() == CloseDecision.Delivery.DELIVERED) return;
+    if (awaitsDelivery) return;
     awaitsDelivery = true;
     listener.scheduler().scheduleAt(listener.scheduler().now() + DELIVERY_CHECK_TICKS, () -> {
       awaitsDelivery = false;
--- a/src/main/java/saltlatch/wire/client/ClosedConnectionLog.java
+++ b/src/main/java/saltlatch/wire/client/ClosedConnectionLog.java
@@ -48,8 +48,7 @@
    */
   void add(CloseReason reason, CloseDecision decision, CloseDecision.State state, long readBytes,
       long receivedBytes) {
-    long unreadBytes = receivedBytes == TcpConnectionInfo.UNKNOWN_BYTES ? UNKNOWN_UNREAD_BYTES
-        : receivedBytes - readBytes;
+    long unreadBytes = receivedBytes < readBytes ? UNKNOWN_UNREAD_BYTES : receivedBytes - readBytes;
     metrics.add(Metric.CLIENT_CONNECTIONS_CLOSED);
     if (unreadBytes > 0 || decision == CloseDecision.RESET)
       metrics.add(Metric.CLIENT_CONNECTIONS_RESET);
--- a/src/main/java/saltlatch/wire/transport/SocketInput.java
+++ b/src/main/java/saltlatch/wire/transport/SocketInput.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelConfig;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.unix.Socket;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
@@ -54,7 +55,7 @@
     ByteBuf target = channel.alloc().directBuffer(maxBytes);
     try {
       ByteBuffer memory = target.internalNioBuffer(0, maxBytes);
-      int length = channel.fd().read(memory, memory.position(), memory.limit());
+      int length = ((Socket) channel.fd()).recv(memory, memory.position(), memory.limit());
       if (length < 0) return AvailableInput.ENDED;
       return new AvailableInput(Buffer.buffer(copy(target, length)), false);
     } catch (IOException e) {
--- a/src/main/java/saltlatch/wire/transport/TcpConnectionInfo.java
+++ b/src/main/java/saltlatch/wire/transport/TcpConnectionInfo.java
@@ -58,13 +58,13 @@
   }
 
   /**
-   * Returns whether the other side's system has confirmed all that was written to this connection;
-   * false if TCP_INFO is unavailable.
+   * Returns whether the other side's system has confirmed all that this side's system has taken;
+   * true if TCP_INFO is unavailable, since waiting for a confirmation would never end.
    */
   public static boolean isOutputDelivered(NetSocket socket) {
     ByteBuffer info = read(socket);
-    return info != null && info.getInt(UNACKNOWLEDGED_SEGMENTS_OFFSET) == 0
-        && info.getInt(NOT_SENT_BYTES_OFFSET) == 0;
+    return info == null || (info.getInt(UNACKNOWLEDGED_SEGMENTS_OFFSET) == 0
+        && info.getInt(NOT_SENT_BYTES_OFFSET) == 0);
   }
 
   /** Returns how many bytes the operating system has received; or {@link #UNKNOWN_BYTES}. */
