A request in front of lost framing keeps its answer however long it takes

What a caller would have seen: a request, with bytes behind it that are no command, whose answer takes over 2 s gets a reset. Change: it counts from when the last reply was written (ClientConnection.finishedTicks).

--- a/src/main/java/saltlatch/wire/client/ClientConnection.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnection.java
@@ -37,6 +37,8 @@
 
   private static final long DELIVERY_CHECK_TICKS = 5 * Ticks.PER_MILLISECOND;
 
+  private static final long NEVER = Long.MAX_VALUE;
+
   private static final Buffer INCOMPLETE_COMMAND = RespEncoder.line("-ERR command incomplete");
   private static final String PROTOCOL_ERROR_PREFIX = "-ERR Protocol error: ";
 
@@ -58,6 +60,7 @@
   private CloseReason errorReason; // of the close behind the last reply, once framing is lost
   private boolean awaitsDelivery; // a timer looks whether the replies have reached the client
   private long readBytes;
+  private long finishedTicks = NEVER; // when the last reply of a connection that ends was written
   // time of the accept, of the last complete command, or of the first byte of the next command
   private long lastUsedTicks;
 
@@ -182,7 +185,7 @@
     boolean isBetweenCommands = hasSentCommand && decoder.isEmpty();
     if (closed || lastUsedTicks > ticks) return;
     if (framingLost) {
-      tryClose(CloseReason.NOT_READING);
+      if (finishedTicks <= ticks) tryClose(CloseReason.NOT_READING);
     } else if (isBetweenCommands || input.isStopped()) {
       return;
     } else if (decoder.isEmpty()) {
@@ -206,7 +209,6 @@
   private void loseFraming(CloseReason reason, Buffer error) {
     framingLost = true;
     hasBacklog = false;
-    lastUsedTicks = listener.scheduler().now();
     errorReason = reason;
     addPendingReply().setLine(error);
   }
@@ -220,6 +222,7 @@
   private void closeIfFinished() {
     if (closed || processingInput || !isIdle()) return;
     if (!framingLost && !listener.isClosing()) return;
+    if (framingLost && finishedTicks == NEVER) finishedTicks = listener.scheduler().now();
     if (tryClose(CloseReason.DRAINING) || !isIdle() || hasBacklog) return;
     boolean waitsForRestOfCommand = !framingLost && !decoder.isEmpty();
     if (!waitsForRestOfCommand) closeOnceDelivered();
--- a/src/test/java/saltlatch/wire/client/ConnectionCloseOrderTest.java
+++ b/src/test/java/saltlatch/wire/client/ConnectionCloseOrderTest.java
@@ -121,6 +121,18 @@
     assertEquals(REJECTED, receive(socket, REJECTED.length()));
   }
 
+  /** Guards against closing, 2 s after lost framing, in front of an answer that takes longer. */
+  @Test
+  void answersASlowRequestInFrontOfLostFraming() throws Exception {
+    holdRequests();
+    Socket socket = connect();
+    send(socket, QUERY + "no command\r\n");
+    awaitInFlight(1);
+    for (int i = 0; i < 4; i++) scheduler.advance(STALE_TICKS);
+    scheduler.runOnLoop(() -> arrived.get(0).reject(0));
+    assertEquals(REJECTED + "-ERR Protocol error: no RESP2 value\r\n", receiveToEnd(socket));
+  }
+
   /** Guards against reading and dropping a request behind the error for an incomplete command. */
   @Test
   void resetsWhatComesAfterAnIncompleteCommand() throws Exception {
