--- a/src/test/java/saltlatch/node/ProcessIT.java
+++ b/src/test/java/saltlatch/node/ProcessIT.java
@@ -113,7 +113,7 @@
     long startNanos = System.nanoTime();
     int answered = 0;
     NodeHarness.send(client, PING);
-    while (NodeHarness.readLine(client).equals("+PONG")) {
+    while (NodeHarness.readLineOrReset(client).equals("+PONG")) {
       answered++;
       NodeHarness.send(client, PING);
     }
