One piece of code for a shared core and for a socket's channel; dead and derivable state goes

No behaviour changes. - ClosingRun had its own copy of FloodFleet's pinned command and busy processes: lab.rig.SharedCore serves both. - Three classes of wire.transport got the channel of a socket by the same cast, one of them twice: NettySockets. - ClientConnection.framingLost said the same as its errorReason: hasLostFraming() derives it, and isFinished() goes with it. terminate() only named one call of tryClose.

--- a/src/main/java/saltlatch/lab/flood/FloodFleet.java
+++ b/src/main/java/saltlatch/lab/flood/FloodFleet.java
@@ -9,6 +9,7 @@
 import saltlatch.lab.clock.LabClock;
 import saltlatch.lab.emulator.Emulator;
 import saltlatch.lab.rig.Processes;
+import saltlatch.lab.rig.SharedCore;
 import saltlatch.lab.scenario.Scenario;
 
 /**
@@ -21,7 +22,7 @@
   private static final long DEADLINE_MS = 767;
 
   private final Emulator emulator;
-  private final List<Process> busyProcesses = new ArrayList<>();
+  private final SharedCore sharedCore;
   private final Processes nodes;
   private final AtomicLong messageNumbers = new AtomicLong();
   private UsualClients usual;
@@ -37,10 +38,11 @@
   public FloodFleet(Processes.Program program, int core, int busy, long seed) throws Exception {
     emulator = new Emulator(Scenario.parse(scenario(seed)), new LabClock());
     emulator.start().toCompletionStage().toCompletableFuture().get();
-    List<String> pinned = List.of("taskset", "-c", Integer.toString(core));
-    nodes = new Processes(program.withPrefix(pinned), (node, old) -> emulator.nodeConfig(node));
+    sharedCore = new SharedCore(core);
+    nodes = new Processes(program.withPrefix(sharedCore.prefix()),
+        (node, old) -> emulator.nodeConfig(node));
     try {
-      for (int i = 0; i < busy; i++) busyProcesses.add(startBusyProcess(pinned));
+      sharedCore.startBusyProcesses(busy);
       nodes.start(NODES);
       usual = new UsualClients(nodes.ports(), RATE_PER_SECOND, DEADLINE_MS, seed);
       usual.start();
@@ -72,12 +74,6 @@
         """, seed, NODES, DEADLINE_MS);
   }
 
-  private static Process startBusyProcess(List<String> pinned) throws IOException {
-    List<String> command = new ArrayList<>(pinned);
-    command.addAll(List.of("sh", "-c", "while :; do :; done"));
-    return new ProcessBuilder(command).start();
-  }
-
   /** Returns what the usual clients see in this time without a flood. */
   public UsualTimes calm(long durationMs) throws Exception {
     return measure(durationMs);
@@ -110,7 +106,7 @@
   public void close() {
     if (usual != null) usual.close();
     nodes.close();
-    busyProcesses.forEach(Process::destroyForcibly);
+    sharedCore.close();
     emulator.stop().toCompletionStage().toCompletableFuture().join();
   }
 
--- a/src/main/java/saltlatch/lab/soak/ClosingRun.java
+++ b/src/main/java/saltlatch/lab/soak/ClosingRun.java
@@ -12,6 +12,7 @@
 import saltlatch.lab.emulator.Emulator;
 import saltlatch.lab.plan.Timeline.Action;
 import saltlatch.lab.rig.Processes;
+import saltlatch.lab.rig.SharedCore;
 import saltlatch.lab.scenario.Scenario;
 
 /**
@@ -94,7 +95,7 @@
   private final Plan plan;
   private final SplittableRandom random;
   private final List<Socket> crowd = new ArrayList<>();
-  private final List<Process> busyProcesses = new ArrayList<>();
+  private final SharedCore core = new SharedCore(Runtime.getRuntime().availableProcessors() - 1);
   private Processes nodes;
 
   private ClosingRun(Plan plan, long seed) {
@@ -111,13 +112,13 @@
     Emulator emulator = new Emulator(Scenario.parse(scenario(seed)), new LabClock());
     emulator.start().toCompletionStage().toCompletableFuture().get();
     Processes.Program placed = plan.disturbance() == Disturbance.BUSY_CORE
-        ? program.withPrefix(pinned()) : program;
+        ? program.withPrefix(core.prefix()) : program;
     try (Processes processes = new Processes(placed, (node, old) -> emulator.nodeConfig(node))) {
       nodes = processes;
       nodes.start(1);
       return endNode();
     } finally {
-      busyProcesses.forEach(Process::destroyForcibly);
+      core.close();
       for (Socket connection : crowd) connection.close();
       emulator.stop().toCompletionStage().toCompletableFuture().get();
     }
@@ -142,11 +143,6 @@
         """, seed, DEADLINE_MS);
   }
 
-  private static List<String> pinned() {
-    int core = Runtime.getRuntime().availableProcessors() - 1;
-    return List.of("taskset", "-c", Integer.toString(core));
-  }
-
   private Result endNode() throws Exception {
     int port = nodes.ports().get(NODE);
     boolean delayed = plan.disturbance() == Disturbance.DELAYED_LINK;
@@ -154,7 +150,7 @@
         IdleClients clients = new IdleClients(delayed ? link.port() : port, plan.clients(),
             plan.form(), DEADLINE_MS, random.split())) {
       Thread.sleep(SETTLE_MS);
-      if (plan.disturbance() == Disturbance.BUSY_CORE) startBusyProcesses();
+      if (plan.disturbance() == Disturbance.BUSY_CORE) core.startBusyProcesses(plan.busy());
       if (plan.disturbance() == Disturbance.CROWD) openCrowd(port);
       long terminatedNanos = System.nanoTime();
       nodes.apply(Action.TERM, TARGET);
@@ -165,12 +161,6 @@
     }
   }
 
-  private void startBusyProcesses() throws IOException {
-    List<String> command = new ArrayList<>(pinned());
-    command.addAll(List.of("sh", "-c", "while :; do :; done"));
-    for (int i = 0; i < plan.busy(); i++) busyProcesses.add(new ProcessBuilder(command).start());
-  }
-
   private void openCrowd(int port) throws IOException {
     for (int i = 0; i < plan.crowd(); i++)
       crowd.add(new Socket(InetAddress.getLoopbackAddress(), port));
--- a/src/main/java/saltlatch/wire/client/ClientConnection.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnection.java
@@ -50,14 +50,13 @@
   private final ClientInput input;
   private final InputTurns.Participant turns;
   private final CommandArrivals arrivals = new CommandArrivals();
-  private boolean framingLost; // no more input is parsed
   private boolean closed; // no more input is parsed and no more replies are written
   private boolean processingInput; // commands are being processed
   private boolean hasBacklog; // complete commands may be in the decoder
   private boolean waitsForAnswers; // reading was stopped because too many replies are unsent
   private boolean hasSentCommand;
   private boolean inputDropped; // bytes were read behind lost framing
-  private CloseReason errorReason; // of the close behind the last reply, once framing is lost
+  private CloseReason errorReason; // null until framing is lost; then no more input is parsed
   private boolean awaitsDelivery; // a timer looks whether the replies have reached the client
   private long readBytes;
   private long finishedTicks = NEVER; // when the last reply of a connection that ends was written
@@ -86,9 +85,9 @@
     return replies.isEmpty();
   }
 
-  /** Returns whether the connection is to be closed behind its last reply. */
-  boolean isFinished() {
-    return framingLost;
+  /** Returns whether no more input is parsed, and the connection closes behind its last reply. */
+  boolean hasLostFraming() {
+    return errorReason != null;
   }
 
   /** Reserves memory for a reply of this size; returns false if all memory is in use. */
@@ -130,7 +129,7 @@
       }
       clientEnded = arrived.isEnded();
     }
-    CloseReason actualReason = framingLost && !reason.isForced() ? errorReason : reason;
+    CloseReason actualReason = hasLostFraming() && !reason.isForced() ? errorReason : reason;
     CloseDecision.State state = closeState(clientEnded);
     CloseDecision decision = CloseDecision.of(actualReason, state);
     if (decision != CloseDecision.KEEP) carryOut(decision, actualReason, state);
@@ -138,7 +137,7 @@
   }
 
   private boolean mayReadBefore(CloseReason reason) {
-    return !framingLost && !reason.isForced() && isIdle() && !hasBacklog && clientReads();
+    return !hasLostFraming() && !reason.isForced() && isIdle() && !hasBacklog && clientReads();
   }
 
   private CloseDecision.State closeState(boolean clientEnded) {
@@ -172,11 +171,6 @@
     tryClose(CloseReason.NOT_READING);
   }
 
-  /** Closes the connection at once, whatever is left to be answered. */
-  void terminate() {
-    tryClose(CloseReason.TERMINATION);
-  }
-
   /**
    * Closes the connection if it has been unused since this time or longer, and has sent no command
    * yet or only part of its latest one, or if its client has not taken its last reply since then.
@@ -184,7 +178,7 @@
   void closeIfIncompleteSince(long ticks) {
     boolean isBetweenCommands = hasSentCommand && decoder.isEmpty();
     if (closed || lastUsedTicks > ticks) return;
-    if (framingLost) {
+    if (hasLostFraming()) {
       if (finishedTicks <= ticks) tryClose(CloseReason.NOT_READING);
     } else if (isBetweenCommands || input.isStopped()) {
       return;
@@ -200,14 +194,13 @@
     if (arrived.length() > 0) read(arrived);
     boolean mayBeComplete = arrived.length() == ClientInput.READ_BYTES || hasBacklog
         || decoder.isEmpty() || !isIdle();
-    if (closed || framingLost || mayBeComplete) return;
+    if (closed || hasLostFraming() || mayBeComplete) return;
     metrics().add(Metric.CLIENT_CONNECTIONS_SILENT);
     loseFraming(CloseReason.INCOMPLETE_COMMAND, INCOMPLETE_COMMAND);
   }
 
   /** Sets the connection's last reply; no more input is processed. */
   private void loseFraming(CloseReason reason, Buffer error) {
-    framingLost = true;
     hasBacklog = false;
     errorReason = reason;
     addPendingReply().setLine(error);
@@ -221,10 +214,10 @@
   /** Closes behind the last reply if the framing is lost, or if this node stops. */
   private void closeIfFinished() {
     if (closed || processingInput || !isIdle()) return;
-    if (!framingLost && !listener.isClosing()) return;
-    if (framingLost && finishedTicks == NEVER) finishedTicks = listener.scheduler().now();
+    if (!hasLostFraming() && !listener.isClosing()) return;
+    if (hasLostFraming() && finishedTicks == NEVER) finishedTicks = listener.scheduler().now();
     if (tryClose(CloseReason.DRAINING) || !isIdle() || hasBacklog) return;
-    boolean waitsForRestOfCommand = !framingLost && !decoder.isEmpty();
+    boolean waitsForRestOfCommand = !hasLostFraming() && !decoder.isEmpty();
     if (!waitsForRestOfCommand) closeOnceDelivered();
   }
 
@@ -259,8 +252,8 @@
   // ---- commands
 
   private void read(Buffer received) {
-    if (framingLost) inputDropped = true;
-    if (framingLost || closed || clientHasClosed()) return;
+    if (hasLostFraming()) inputDropped = true;
+    if (hasLostFraming() || closed || clientHasClosed()) return;
     readBytes += received.length();
     if (listener.isRejecting()) SocketCloser.resetAtExit(socket);
     long nowTicks = listener.scheduler().now();
@@ -305,7 +298,7 @@
     writeReadyReplies();
     updateReading();
     // not at once, because the same iteration may read more commands
-    if (framingLost || listener.isClosing())
+    if (hasLostFraming() || listener.isClosing())
       listener.scheduler().afterCurrentIteration(this::closeIfFinished);
   }
 
@@ -340,7 +333,7 @@
   }
 
   private void writeReadyReplies() {
-    boolean connectionCloses = framingLost || listener.isRejecting();
+    boolean connectionCloses = hasLostFraming() || listener.isRejecting();
     replies.writeReady(connectionCloses);
   }
 
@@ -351,7 +344,7 @@
   private void updateReading() {
     if (closed) return;
     boolean hasRoom = replies.size() < MAX_PENDING_REPLIES && !socket.writeQueueFull();
-    if (framingLost || hasBacklog || !hasRoom) stopReading(hasBacklog);
+    if (hasLostFraming() || hasBacklog || !hasRoom) stopReading(hasBacklog);
     else resumeReading();
   }
 
--- a/src/main/java/saltlatch/wire/client/ClientConnections.java
+++ b/src/main/java/saltlatch/wire/client/ClientConnections.java
@@ -54,7 +54,7 @@
    */
   boolean closeOne(long staleTicks) {
     List<ClientConnection> byUse = List.copyOf(used);
-    return closeFirst(open(), ClientConnection::isFinished)
+    return closeFirst(open(), ClientConnection::hasLostFraming)
         || closeFirst(byUse, connection -> connection.lastUsedTicks() <= staleTicks)
         || closeFirst(List.copyOf(silent), connection -> true)
         || closeFirst(byUse, connection -> connection.lastUsedTicks() > staleTicks);
--- a/src/main/java/saltlatch/wire/client/ClientListener.java
+++ b/src/main/java/saltlatch/wire/client/ClientListener.java
@@ -170,7 +170,8 @@
 
   /** Closes all connections at once. Called if some could not be closed in order in time. */
   public void terminateConnections() {
-    connections.open().forEach(ClientConnection::terminate);
+    for (ClientConnection connection : connections.open())
+      connection.tryClose(CloseReason.TERMINATION);
   }
 
   /** Returns the number of open client connections, including those that are being closed. */
--- a/src/main/java/saltlatch/wire/client/ReplyQueue.java
+++ b/src/main/java/saltlatch/wire/client/ReplyQueue.java
@@ -49,11 +49,6 @@
     return pending.isEmpty();
   }
 
-  /** Returns whether every reply was sent, so that closing at once would lose none. */
-  boolean isSent() {
-    return pending.isEmpty() && writesInProgress == 0;
-  }
-
   /** Returns how far the written replies have come. */
   CloseDecision.Delivery delivery() {
     if (writesInProgress > 0) return CloseDecision.Delivery.WRITING;
--- a/src/main/java/saltlatch/wire/transport/SocketCloser.java
+++ b/src/main/java/saltlatch/wire/transport/SocketCloser.java
@@ -3,9 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
-import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 
 /**
@@ -25,7 +23,7 @@
    * handler that waits.
    */
   public static void closeNow(NetSocket socket) {
-    ChannelFuture unused = context(socket).close();
+    ChannelFuture unused = NettySockets.context(socket).close();
   }
 
   /**
@@ -52,7 +50,7 @@
   }
 
   private static void setLinger(NetSocket socket, int seconds) {
-    Channel channel = context(socket).channel();
+    Channel channel = NettySockets.channel(socket);
     if (!channel.isOpen()) return;
     try {
       channel.config().setOption(ChannelOption.SO_LINGER, seconds);
@@ -61,8 +59,4 @@
       return;
     }
   }
-
-  private static ChannelHandlerContext context(NetSocket socket) {
-    return ((NetSocketInternal) socket).channelHandlerContext();
-  }
 }
--- a/src/main/java/saltlatch/wire/transport/SocketInput.java
+++ b/src/main/java/saltlatch/wire/transport/SocketInput.java
@@ -1,13 +1,11 @@
 package saltlatch.wire.transport;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelConfig;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.unix.Socket;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -50,7 +48,8 @@
    * Returns no bytes without the native transport.
    */
   public static AvailableInput readAvailable(NetSocket socket, int maxBytes) {
-    if (!(channel(socket) instanceof EpollSocketChannel channel)) return AvailableInput.NOTHING;
+    if (!(NettySockets.channel(socket) instanceof EpollSocketChannel channel))
+      return AvailableInput.NOTHING;
     if (!channel.isOpen()) return AvailableInput.ENDED;
     ByteBuf target = channel.alloc().directBuffer(maxBytes);
     try {
@@ -72,10 +71,6 @@
   }
 
   private static ChannelConfig config(NetSocket socket) {
-    return channel(socket).config();
-  }
-
-  private static Channel channel(NetSocket socket) {
-    return ((NetSocketInternal) socket).channelHandlerContext().channel();
+    return NettySockets.channel(socket).config();
   }
 }
--- a/src/main/java/saltlatch/wire/transport/TcpConnectionInfo.java
+++ b/src/main/java/saltlatch/wire/transport/TcpConnectionInfo.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelException;
 import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.unix.RawUnixChannelOption;
-import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
@@ -74,7 +73,7 @@
   }
 
   private static ByteBuffer read(NetSocket socket) {
-    Channel channel = ((NetSocketInternal) socket).channelHandlerContext().channel();
+    Channel channel = NettySockets.channel(socket);
     if (!(channel instanceof EpollSocketChannel)) return null;
     try {
       ByteBuffer info = channel.config().getOption(TCP_INFO);
